Spread calls to discovery over a window that grows with the fleet

Cause: src/net/discovery.rs asked again every 250 ms, each front door in step with all others, and took a 503 for a reason to ask for the whole list, which costs discovery more. Ruled out: a lost agent (single calls were answered at other times) and unreadable lists (every end was a status 503 or a reset).

Choice: a pause drawn evenly from a window that grows with the fleet and doubles with each failure, up to 4 s; the version is kept unless the answer is a 4xx. A front door that starts with a list waits such a pause too. Cost: a list may be learnt up to a few seconds later than by luck; one front door alone asks as before.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of backends: a watch that is resumed where it ended, and the whole list when one is unreadable.
 
+use super::backoff::Backoff;
 use super::door::Door;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
@@ -16,8 +17,6 @@
 
 /// Discovery says something every 2 s; a watch silent for three of these has lost its other end.
 const SILENCE: Duration = Duration::from_millis(6500);
-/// Pause before discovery is asked again after a watch has ended.
-const PAUSE: Duration = Duration::from_millis(250);
 /// Longest line that is taken in.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -90,13 +89,31 @@
     TooLong,
 }
 
+impl Ended {
+    /// Whether only the whole list can be of use after this.
+    fn wants_whole_list(&self) -> bool {
+        match self {
+            Ended::Unreadable(_) | Ended::TooLong => true,
+            Ended::Status(status) => status.is_client_error(),
+            Ended::Io(_) | Ended::Http(_) | Ended::Request(_) | Ended::Silent(_) => false,
+        }
+    }
+}
+
 /// Follows discovery for as long as the front door runs, from the list that it last had. When `agent` tells
 /// another address, the old watch is left at once and resumed there.
-pub async fn follow(door: Rc<Door>, mut agent: watch::Receiver<SocketAddr>, known: Option<Members>) {
+pub async fn follow(
+    door: Rc<Door>,
+    mut agent: watch::Receiver<SocketAddr>,
+    known: Option<Members>,
+    mut backoff: Backoff,
+) {
     let mut version = None;
     if let Some(known) = known {
         version = Some(known.seq);
         door.list_changed(&known, true);
+        // There is a list to serve from, and the whole fleet may have been started anew in this instant.
+        tokio::time::sleep(backoff.start()).await;
     }
     let mut down = false;
     loop {
@@ -110,10 +127,14 @@
             ended = read(&door, address, &path, &mut version) => ended,
             _ = agent.changed() => continue,
         };
-        // A place that does not know the version, or tells what cannot be read, is asked for the whole list.
-        if matches!(ended, Err(Ended::Unreadable(_) | Ended::TooLong | Ended::Status(_))) {
+        // A place that does not know the version, or tells what cannot be read, is asked for the whole list. One
+        // that is overbooked knows it well: to ask it for more would keep it so.
+        if ended.as_ref().is_err_and(Ended::wants_whole_list) {
             version = None;
         }
+        if version != before && version.is_some() {
+            backoff.answered();
+        }
         let whole_list = before.is_none() && ended.is_ok();
         if whole_list && version.is_some() {
             continue;
@@ -125,7 +146,7 @@
         }
         down = version == before;
         tokio::select! {
-            () = tokio::time::sleep(PAUSE) => {}
+            () = tokio::time::sleep(backoff.next()) => {}
             _ = agent.changed() => {}
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The front door on real sockets: the parts round the decision module and how they start and stop.
 
 mod backends;
+mod backoff;
 mod clients;
 pub mod config;
 mod discovery;
@@ -8,6 +9,7 @@
 mod pool;
 mod request;
 
+use backoff::Backoff;
 use clients::Clients;
 use config::Config;
 use door::Door;
@@ -31,7 +33,8 @@
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     let agent = watch::Sender::new(config.discovery);
-    tokio::task::spawn_local(discovery::follow(door.clone(), agent.subscribe(), config.known));
+    let backoff = Backoff::new(door.settings.gateways, config.seed);
+    tokio::task::spawn_local(discovery::follow(door.clone(), agent.subscribe(), config.known, backoff));
     let clients = Clients::new(door.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -300,6 +300,21 @@
     assert_eq!(wire.read().first, "GET /catalog/members?watch=1&from=20 HTTP/1.1");
 }
 
+/// Guards an overbooked discovery against being asked for more: one that turns a watch away knows the version, so
+/// it is asked for the changes again, and for the whole list only where it says that there is no such thing.
+#[test]
+fn a_watch_that_is_turned_away_is_asked_for_from_the_same_version() {
+    let mut scene = Scene::new(1);
+    scene.watch.0.write("0\r\n\r\n");
+    drop(scene.watch);
+    for status in [503, 503, 500, 404] {
+        let mut wire = scene.discovery.accept();
+        assert_eq!(wire.read().first, "GET /catalog/members?watch=1&from=7 HTTP/1.1");
+        wire.answer(status, "", "");
+    }
+    assert_eq!(scene.discovery.accept().read().first, "GET /catalog/members HTTP/1.1");
+}
+
 /// Guards against a watch whose other end has vanished: it says nothing and does not end.
 #[test]
 fn a_silent_watch_is_opened_again() {
