Ask discovery less than it can bear while it turns calls away

Cause: the bounds of src/net/backoff.rs did not grow with the fleet, and a pause could be shorter than the time for which a dead call is still worked on.

Choice: first window 60 ms and longest window 120 ms for each front door, at least a quarter of it; no pause at a start, and under 200 ms where a connection was lost and nothing says that discovery has too much to do. Cost: a front door may go 12 s without news where all are turned away.

--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -1,60 +1,61 @@
 //! When to ask a shared service again, so that a fleet of front doors does not ask it in step.
 //!
-//! One front door that asks four times a second costs a service nothing. A hundred that lost it at the same
-//! instant, and come back at the same pace, can keep it overbooked for good: each call is turned away because
-//! of the others. The window out of which a pause is drawn therefore grows with the fleet, doubles with each
-//! failure in a row, and the pause is drawn evenly, so that no two front doors stay in step.
+//! One front door that asks four times a second costs a service nothing. A hundred that come back at the same
+//! pace can keep it overbooked for good: each call is turned away because of the others. Where a service says
+//! that it has too much to do, the window out of which a pause is drawn grows with the fleet and doubles with
+//! each call that was turned away, and the pause is drawn evenly, so that no two front doors stay in step.
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::time::Duration;
 
-/// Shortest window out of which a pause is drawn: what one front door alone may ask of a service.
-const LEAST: Duration = Duration::from_millis(250);
-/// What each front door of the fleet adds to the first window: together they make a hundred calls a second.
-const PER_GATEWAY: Duration = Duration::from_millis(10);
-/// Longest window: what is told counts as known some seconds later, whether it was asked for or not.
-const MOST: Duration = Duration::from_secs(4);
+/// Longest pause where nothing says that the service has too much to do, and the shortest window where it does.
+const SOON: Duration = Duration::from_millis(200);
+/// What each front door of the fleet adds to the first window, and to the longest one: a fleet all of whose calls
+/// are turned away makes some twenty-five calls a second at first, and comes down to under ten. A service that works
+/// on calls whose callers have left must be asked less than it can bear before anybody is served again.
+const FIRST_PER_GATEWAY: Duration = Duration::from_millis(60);
+const MOST_PER_GATEWAY: Duration = Duration::from_millis(120);
+/// Shortest part of a window that a pause takes: what was turned away may still be worked on, ahead of the next call.
+const LEAST_PART: u32 = 4;
 
 /// Pauses between calls to a service that other front doors call too.
 pub struct Backoff {
     first: Duration,
-    failures: u32,
+    most: Duration,
+    turned_away: u32,
     rng: Pcg32,
 }
 
 impl Backoff {
     /// For one of `gateways` front doors; `seed` is its only source of chance.
     pub fn new(gateways: u32, seed: u64) -> Backoff {
-        let first = PER_GATEWAY.saturating_mul(gateways).clamp(LEAST, MOST);
-        Backoff { first, failures: 0, rng: Pcg32::seed_from_u64(seed) }
+        let first = FIRST_PER_GATEWAY.saturating_mul(gateways).max(SOON);
+        let most = MOST_PER_GATEWAY.saturating_mul(gateways).max(first);
+        Backoff { first, most, turned_away: 0, rng: Pcg32::seed_from_u64(seed) }
     }
 
-    /// The pause before the first call of all, when the whole fleet may have started at once. One front door
-    /// alone, or one of a few, need not wait.
-    pub fn start(&mut self) -> Duration {
-        if self.first > LEAST {
-            self.draw(self.first)
-        } else {
-            Duration::ZERO
-        }
+    /// The pause after a call or a connection that was lost. It is short: what the service has to tell counts as
+    /// told while it is not asked.
+    pub fn lost(&mut self) -> Duration {
+        self.draw(SOON)
     }
 
-    /// The pause after a call that failed, or after a connection that was lost.
-    pub fn next(&mut self) -> Duration {
-        let window = self.first.saturating_mul(1 << self.failures.min(16)).min(MOST);
-        self.failures = self.failures.saturating_add(1);
-        // Never at once: a service that ends each call as soon as it comes would be asked without pause.
-        window / 8 + self.draw(window - window / 8)
+    /// The pause after a call that was turned away for too many others.
+    pub fn turned_away(&mut self) -> Duration {
+        let window = self.first.saturating_mul(1 << self.turned_away.min(16)).min(self.most);
+        self.turned_away = self.turned_away.saturating_add(1);
+        self.draw(window)
     }
 
     /// The service has answered.
     pub fn answered(&mut self) {
-        self.failures = 0;
+        self.turned_away = 0;
     }
 
     fn draw(&mut self, window: Duration) -> Duration {
-        window.mul_f64(f64::from(self.rng.next_u32()) / 4_294_967_296.0)
+        let least = window / LEAST_PART;
+        least + (window - least).mul_f64(f64::from(self.rng.next_u32()) / 4_294_967_296.0)
     }
 }
 
@@ -66,12 +67,12 @@
 
     /// Most calls that fall into one tenth of a second if every front door's call fails from the same instant on.
     fn busiest_tenth(from: Duration, to: Duration) -> usize {
-        let mut tenths = vec![0; 400];
+        let mut tenths = vec![0; 600];
         for door in 0..FLEET {
             let mut backoff = Backoff::new(FLEET as u32, door);
             let mut at = Duration::ZERO;
             while at < to {
-                at += backoff.next();
+                at += backoff.turned_away();
                 if at >= from {
                     tenths[(at.as_millis() / 100) as usize] += 1;
                 }
@@ -85,28 +86,28 @@
     #[test]
     fn a_fleet_that_fails_in_step_does_not_ask_in_step() {
         let first = busiest_tenth(Duration::ZERO, Duration::from_secs(2));
-        assert!(first <= 25, "{first} of {FLEET} asked within a tenth of a second");
-        let later = busiest_tenth(Duration::from_secs(6), Duration::from_secs(20));
-        assert!(later <= 15, "{later} of {FLEET} still ask within a tenth of a second");
+        assert!(first <= 9, "{first} of {FLEET} asked within a tenth of a second");
+        let later = busiest_tenth(Duration::from_secs(12), Duration::from_secs(40));
+        assert!(later <= 6, "{later} of {FLEET} still ask within a tenth of a second");
     }
 
-    /// Guards a small fleet against waiting for others that it does not have.
+    /// Guards a small fleet against waiting for others that it does not have, and any against a long pause where
+    /// the service is not short of anything.
     #[test]
-    fn one_front_door_asks_at_once_and_again_soon() {
-        let mut alone = Backoff::new(1, 7);
-        assert_eq!(alone.start(), Duration::ZERO);
-        for _ in 0..20 {
-            assert!(alone.next() <= LEAST);
-            alone.answered();
-        }
+    fn what_was_lost_is_asked_for_again_soon() {
+        let (mut alone, mut many) = (Backoff::new(1, 7), Backoff::new(100, 7));
+        assert!(alone.turned_away() <= SOON);
+        assert!((0..100).map(|_| many.lost()).all(|pause| pause > Duration::ZERO && pause <= SOON));
     }
 
     /// Guards a front door against going without a list for long, however often it was turned away.
     #[test]
     fn the_pause_is_bounded_and_short_again_after_an_answer() {
         let mut backoff = Backoff::new(100, 3);
-        assert!((0..100).map(|_| backoff.next()).all(|pause| pause > Duration::ZERO && pause <= MOST));
+        let pauses: Vec<Duration> = (0..100).map(|_| backoff.turned_away()).collect();
+        assert!(pauses.iter().all(|pause| *pause > Duration::ZERO && *pause <= backoff.most));
+        assert!(pauses.iter().any(|pause| *pause > backoff.first));
         backoff.answered();
-        assert!(backoff.next() <= backoff.first);
+        assert!(backoff.turned_away() <= backoff.first);
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -94,10 +94,15 @@
     fn wants_whole_list(&self) -> bool {
         match self {
             Ended::Unreadable(_) | Ended::TooLong => true,
-            Ended::Status(status) => status.is_client_error(),
+            Ended::Status(status) => status.is_client_error() && !self.says_overbooked(),
             Ended::Io(_) | Ended::Http(_) | Ended::Request(_) | Ended::Silent(_) => false,
         }
     }
+
+    /// Whether discovery has more calls than it can bear.
+    fn says_overbooked(&self) -> bool {
+        matches!(self, Ended::Status(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS))
+    }
 }
 
 /// Follows discovery for as long as the front door runs, from the list that it last had. When `agent` tells
@@ -112,8 +117,6 @@
     if let Some(known) = known {
         version = Some(known.seq);
         door.list_changed(&known, true);
-        // There is a list to serve from, and the whole fleet may have been started anew in this instant.
-        tokio::time::sleep(backoff.start()).await;
     }
     let mut down = false;
     loop {
@@ -132,6 +135,7 @@
         if ended.as_ref().is_err_and(Ended::wants_whole_list) {
             version = None;
         }
+        let overbooked = ended.as_ref().is_err_and(Ended::says_overbooked);
         if version != before && version.is_some() {
             backoff.answered();
         }
@@ -145,8 +149,9 @@
             eprintln!("discovery: watch ended: {why}");
         }
         down = version == before;
+        let pause = if overbooked { backoff.turned_away() } else { backoff.lost() };
         tokio::select! {
-            () = tokio::time::sleep(backoff.next()) => {}
+            () = tokio::time::sleep(pause) => {}
             _ = agent.changed() => {}
         }
     }
