Let the opening of one of many gateways move faster

Cause: Gateway::feel_answer moves by 0.15 an aim at most, set for gateways that hear hundreds of answers an aim; one of a hundred hears four a second, and fewer the less it lets in. Ruled out: slow backends after the return (median 300 to 450 ms) and cold budgets (no refusal for want of a backend).

Cost: more swing of the opening where answers vary for other reasons.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,8 +31,9 @@
 const PRESSURE_AIMS: f64 = 2.0;
 /// An answer is slow beyond this part of its aim.
 const SLOW_AIMS: f64 = 0.5;
-/// Step of the opening for an answer that took no time, for each shortest aim that has passed.
-const OPENING_STEP: f64 = 0.15;
+/// Step of the opening of a lone gateway for an answer that took no time, for each shortest aim passed;
+/// that of many grows with the cube root of their number.
+const OPENING_STEP: f64 = 0.12;
 /// The opening rests where answers take this part of their aims on average, a slow one counted as a whole.
 const TARGET_AIMS: f64 = 0.25;
 /// Requests over which their usual size is averaged.
@@ -475,9 +476,11 @@
     /// attempt out at a backend, so its own load tells nothing while answers get slow everywhere. All let in
     /// less by the same measure, until answers take the target part of their aims on average.
     fn feel_answer(&mut self, now: Millis, part_of_aim: f64) {
-        let step = OPENING_STEP * ((now - self.answer_at) / self.aim).min(1.0);
+        let gateways = f64::from(self.set.gateways.max(1));
+        // One of many hears so little that each answer has to tell it more.
+        let step = OPENING_STEP * gateways.cbrt() * ((now - self.answer_at) / self.aim).min(1.0);
         // One alone or one of two sees much of the queues itself.
-        let target = TARGET_AIMS * (1.0 + 1.0 / f64::from(self.set.gateways.max(1)).powi(2));
+        let target = TARGET_AIMS * (1.0 + 1.0 / gateways.powi(2));
         let change = step * (1.0 - part_of_aim / target);
         self.opening = (self.opening + change).clamp(OPENING_LEAST, 1.0);
         self.answer_at = now;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -213,3 +213,34 @@
     });
     assert_eq!(served.count(), 100);
 }
+
+/// Guards the time after an overload: one of many gateways hears few answers while it lets little in, and must
+/// not go on refusing for long when these are quick again.
+#[test]
+fn one_of_many_gateways_opens_soon_after_answers_are_quick_again() {
+    let mut stage = one_of_a_hundred();
+    let mut answers: Vec<(Millis, u32, BackendId)> = Vec::new();
+    let mut let_in = [0, 0, 0];
+    for i in 0..280u32 {
+        let now = 1000.0 + f64::from(i) * 50.0;
+        let slow = i < 200;
+        answers.retain(|(at, id, backend)| {
+            if *at <= now {
+                let end = Settled { elapsed: 900.0, ..settled(*id, 0, *backend, Outcome::Ok) };
+                stage.play(now, Event::Settled(end));
+            }
+            *at > now
+        });
+        let phase = if slow { usize::from(i >= 160) } else { 2 };
+        if let Some(backend) = stage.arrive(now, of_a_stranger(i, now)) {
+            let_in[phase] += 1;
+            if slow {
+                answers.push((now + 900.0, i, backend));
+            } else {
+                stage.settle(now + 10.0, i, 0, backend, Outcome::Ok);
+            }
+        }
+    }
+    assert!(let_in[1] <= 12, "of 40 while answers were slow: {let_in:?}");
+    assert!(let_in[2] >= 60, "of 80 in four aims once they were quick: {let_in:?}");
+}
