--- a/src/bin/maplefall-drill/main.rs
+++ b/src/bin/maplefall-drill/main.rs
@@ -130,6 +130,7 @@
             units: f64::from(units),
             deadline,
             spread: f64::from(doors),
+            waited: 0.0,
         }),
         Record::FirstByte { id } => Event::StreamStarted(RequestId(id)),
         Record::Settled(o) => Event::Settled(Settled {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -242,6 +242,8 @@
     pub deadline: Millis,
     /// Through how many gateways this customer's requests come.
     pub spread: f64,
+    /// How long it had been waiting when it was handed over, unread while the front door was held up.
+    pub waited: Millis,
 }
 
 /// How an attempt ended.
@@ -333,6 +335,8 @@
     ClientGone(RequestId),
     /// An alarm came due.
     Alarm(AlarmId),
+    /// A planned stop: what arrives from now on is told to come back once it is over, at this time at the latest.
+    Stopping(Millis),
     /// A probe ended.
     Probed {
         /// Which backend.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 //!     units: 1.0,
 //!     deadline: 2000.0,
 //!     spread: 1.0,
+//!     waited: 0.0,
 //! };
 //! gateway.handle(5.0, Event::Arrival(request), &mut actions);
 //! for action in actions.drain(..) {
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -1,5 +1,7 @@
 //! Attempts: what goes on to a backend, what comes back, and what the end of an attempt means.
 
+use super::budget::Allowance;
+use super::door::Clock;
 use super::pool::{Line, NoConnection, Pools};
 use super::request::{IDEMPOTENCY_KEY, REQUEST_ID, REQUEST_TIMEOUT};
 use http_body_util::{BodyExt, Full};
@@ -7,11 +9,11 @@
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use maplefall::settings::{self, Metric, Told};
-use maplefall::{BackendId, Care, Millis, Outcome, Report};
+use maplefall::{BackendId, Care, Outcome, Report};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use tokio::time::Instant;
 
 /// Longest body of a request, and of an answer that is taken in without asking for room.
 pub const LONGEST_BODY: usize = 64 * 1024;
@@ -50,15 +52,15 @@
 }
 
 impl Order {
-    fn request(&self, limit: Millis) -> Request<Full<Bytes>> {
+    fn request(&self, told: &str) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
         headers.insert(HOST, self.host.clone());
         headers.insert(REQUEST_ID, self.id_value.clone());
-        if let Ok(limit) = HeaderValue::try_from(format!("{:.3}", limit / 1000.0)) {
-            headers.insert(REQUEST_TIMEOUT, limit);
+        if let Ok(told) = HeaderValue::try_from(told) {
+            headers.insert(REQUEST_TIMEOUT, told);
         }
         if let Some(key) = &self.key {
             headers.insert(IDEMPOTENCY_KEY, key.clone());
@@ -162,16 +164,17 @@
 
 // ---- Attempts ---------------------------------------------------------------------------------------
 
-/// Carries out one attempt and tells how it ended.
+/// Carries out one attempt within its part of the request's time and tells how it ended. Whoever set the part ends it: it is
+/// dropped when the part is over.
 pub async fn attempt(
     pools: &Pools,
+    clock: Clock,
     backend: BackendId,
     order: &Order,
-    limit: Millis,
+    part: Allowance,
     care: Care,
     line: &Line,
 ) -> Ended {
-    let begun = Instant::now();
     let mut broken = 0;
     let Some(dial) = pools.dial_address(backend) else { return Ended::of(Outcome::NotSent) };
     loop {
@@ -179,7 +182,7 @@
         let idle = pooled.as_ref().map(|connection| connection.idle(Instant::now()));
         let mut connection = match pooled {
             Some(connection) => connection,
-            None => match pools.fresh(dial).await {
+            None => match pools.fresh(dial, part.wait(clock.now(), pools.dial_timeout())).await {
                 Ok(connection) => connection,
                 Err(NoConnection::Own) => return Ended { broken, ..Ended::of(Outcome::NotSent) },
                 // Refused: that says more than what broke before.
@@ -192,9 +195,11 @@
         }
         line.hold(&connection.wire);
         connection.wire.begin(order.body.len(), care != Care::Usual);
-        let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
         let sent = match connection.sender.ready().await {
-            Ok(()) => connection.sender.send_request(order.request(left.max(1.0))).await.ok(),
+            Ok(()) => {
+                let told = part.told(clock.now(), pools.way_back());
+                connection.sender.send_request(order.request(&told)).await.ok()
+            }
             Err(_) => None,
         };
         if let Some(idle) = idle {
@@ -299,6 +304,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::budget::Budget;
     use super::*;
     use maplefall::settings::Links;
     use socket2::SockRef;
@@ -320,6 +326,12 @@
     /// Longest time that a scene may take.
     const SCENE: Duration = Duration::from_secs(20);
 
+    /// Time that no attempt of these scenes uses up.
+    fn long() -> Allowance {
+        let now = Clock::new().now();
+        Budget::told("20", now, 20_000.0).and_then(|budget| budget.attempt(now, None)).expect("time")
+    }
+
     fn pools() -> Pools {
         let links = Links { dial_timeout: 20_000.0, idle_close: 600_000.0 };
         let reading =
@@ -374,7 +386,9 @@
             pools.open(id, address, 0.0);
             let mut ends = Vec::new();
             for _ in 0..3 {
-                ends.push(attempt(&pools, id, &order, 20_000.0, Care::Once, &Line::default()).await);
+                ends.push(
+                    attempt(&pools, Clock::new(), id, &order, long(), Care::Once, &Line::default()).await,
+                );
             }
             backend.await.expect("a backend that saw what it waited for");
             ends
@@ -410,7 +424,7 @@
             });
             let (pools, order, id, line) = (pools(), order(), BackendId(1), Line::default());
             pools.open(id, address, 0.0);
-            let send = |care| attempt(&pools, id, &order, 20_000.0, care, &line);
+            let send = |care| attempt(&pools, Clock::new(), id, &order, long(), care, &line);
             for _ in 0..3 {
                 assert_eq!(send(Care::Usual).await.outcome, Outcome::Ok);
                 pools.age(old);
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,275 @@
+//! A request's time. One [`Budget`] is made where a request's time starts; every wait below it (the rest of its body, a
+//! link, a dial, the write, the answer, a further attempt, the final word) is cut out of that one and no other.
+//!
+//! Nothing here reads a clock: times come in as [`Millis`] on the front door's own, which no step of the wall clock moves.
+
+use maplefall::Millis;
+use std::cell::Cell;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// How many times what its class lets a client wait a request may ask for. Up to this it is held to its class; what is
+/// beyond is no time that a client of this service would name, and is turned down like one that cannot be read.
+const ABSURD: f64 = 10.0;
+
+/// The time that a request has, fixed once. Copies of it are the same budget: two attempts of one request end together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    end: Millis,
+}
+
+impl Budget {
+    /// The budget of a request whose first byte came at `began`, by the seconds that its client told; `None` if what was
+    /// told is no time: not a number, nothing or less, or absurdly more than the `most` that its class allows.
+    pub fn told(seconds: &str, began: Millis, most: Millis) -> Option<Budget> {
+        let told = 1000.0 * seconds.parse::<f64>().ok()?;
+        let sane = told > 0.0 && told <= ABSURD * most;
+        (sane && began.is_finite()).then(|| Budget { end: began + told.min(most) })
+    }
+
+    /// When its client stops waiting.
+    pub fn end(&self) -> Millis {
+        self.end
+    }
+
+    /// What is left of it; never less than nothing.
+    pub fn left(&self, now: Millis) -> Millis {
+        (self.end - now).max(0.0)
+    }
+
+    /// Whether nothing is left of it.
+    pub fn over(&self, now: Millis) -> bool {
+        self.left(now) <= 0.0
+    }
+
+    /// The same budget, ending at `end` at the latest: with a planned stop, or with what a predecessor had granted.
+    pub fn until(&self, end: Millis) -> Budget {
+        Budget { end: self.end.min(end) }
+    }
+
+    /// The part of it that an attempt begun now may take, `limit` at most; `None` if there is nothing left to take.
+    pub fn attempt(&self, now: Millis, limit: Option<Millis>) -> Option<Allowance> {
+        let until = self.end.min(now + limit.unwrap_or(f64::INFINITY));
+        (until > now).then_some(Allowance { until })
+    }
+}
+
+/// The part of a budget that one attempt may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    until: Millis,
+}
+
+impl Allowance {
+    /// When the attempt is given up.
+    pub fn until(&self) -> Millis {
+        self.until
+    }
+
+    /// How long a wait within it may last that by itself might last `most`.
+    pub fn wait(&self, now: Millis, most: Millis) -> Millis {
+        (self.until - now).clamp(0.0, most.max(0.0))
+    }
+
+    /// What a backend is told that it has, in seconds: what is left, less the way its answer takes. One that ends its
+    /// work just in time for a clock of its own would be late here. At least a millisecond: nothing would be misread.
+    pub fn told(&self, now: Millis, way_back: Millis) -> String {
+        let left = self.until - now - way_back.max(0.0);
+        // Cut, not rounded: nobody is told more than there is.
+        format!("{:.3}", (left.max(1.0).floor()) / 1000.0)
+    }
+}
+
+// ---- Lag --------------------------------------------------------------------------------------------
+
+/// By how much something may be late before the loop counts as held up: timers are that coarse, and a turn of the loop
+/// that is merely full takes that long.
+const TOLERANCE: Millis = 20.0;
+
+/// When the loop last went to sleep: up to then it had read all that had come. Written by the runtime's own hook.
+#[derive(Clone, Debug)]
+pub struct Parked {
+    start: Instant,
+    micros: Arc<AtomicU64>,
+}
+
+impl Parked {
+    /// A loop that has not slept since now.
+    pub fn new() -> Parked {
+        Parked { start: Instant::now(), micros: Arc::default() }
+    }
+
+    /// The instant from which it counts.
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
+    /// The loop goes to sleep now.
+    pub fn note(&self) {
+        let micros = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.micros.store(micros, Ordering::Relaxed);
+    }
+
+    fn at(&self) -> u64 {
+        self.micros.load(Ordering::Relaxed)
+    }
+}
+
+/// Whether the process was kept from running: paused, starved of its core, or held up by a task. Bytes that came
+/// meanwhile waited unread, and their client's time ran: what is read in the turn in which that shows is taken to have
+/// come when the loop last had nothing left to read. It may have come later; then it is answered sooner than it need be.
+#[derive(Debug)]
+pub struct Lag {
+    parked: Parked,
+    /// Where the loop's start stands on the front door's clock.
+    zero: Millis,
+    /// When something last ran.
+    alive: Cell<Millis>,
+    /// Since when the loop was held up, and its last sleep then: over with the next one.
+    held_up: Cell<Option<(Millis, u64)>>,
+    worst: Cell<Millis>,
+}
+
+impl Lag {
+    /// Of a loop that sleeps as `parked` tells; its start stands at `zero` on the front door's clock.
+    pub fn new(parked: Parked, zero: Millis) -> Lag {
+        let (held_up, worst) = (Cell::new(None), Cell::new(0.0));
+        Lag { parked, zero, alive: Cell::new(zero), held_up, worst }
+    }
+
+    /// Something that was due at `at` runs now.
+    pub fn ran(&self, at: Millis, now: Millis) {
+        if now - at > TOLERANCE {
+            let slept = self.parked.at();
+            let quiet = self.alive.get().max(self.zero + slept as f64 / 1000.0).min(now);
+            let since =
+                self.held_up.get().filter(|(_, turn)| *turn == slept).map_or(quiet, |(since, _)| since);
+            self.held_up.set(Some((since, slept)));
+            self.worst.set(self.worst.get().max(now - since));
+        } else {
+            self.held_up.set(None);
+        }
+        self.alive.set(self.alive.get().max(now));
+    }
+
+    /// When bytes may have come that are read now.
+    pub fn came(&self, now: Millis) -> Millis {
+        let held_up = self.held_up.get().filter(|(_, turn)| *turn == self.parked.at());
+        held_up.map_or(now, |(since, _)| since.min(now))
+    }
+
+    /// The longest time for which the loop was held up since this was last asked, if it ever was.
+    pub fn take_worst(&self) -> Option<Millis> {
+        Some(self.worst.replace(0.0)).filter(|worst| *worst > 0.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::time::Duration;
+
+    /// Guards what a client tells: what is no time gets no budget, and no class waits for longer than it allows.
+    #[test]
+    fn only_a_sane_time_makes_a_budget() {
+        for bad in ["", "NaN", "nan", "inf", "-inf", "-0.5", "0", "-0", "1e300", "80.001", "1,5", "0x1"] {
+            assert_eq!(Budget::told(bad, 1000.0, 8000.0), None, "{bad:?}");
+        }
+        assert_eq!(Budget::told("1.5", 1000.0, 8000.0).unwrap().end(), 2500.0);
+        assert_eq!(Budget::told("79", 1000.0, 8000.0).unwrap().end(), 9000.0);
+        assert_eq!(Budget::told("1.5", f64::NAN, 8000.0), None);
+    }
+
+    /// Guards a backend against being told more than there is, and against a nought that it would misread.
+    #[test]
+    fn a_backend_is_told_what_is_left_less_the_way_back() {
+        let budget = Budget::told("1.5", 0.0, 8000.0).unwrap();
+        let all = budget.attempt(100.0, None).unwrap();
+        assert_eq!(all.told(100.0, 0.0), "1.400");
+        assert_eq!(all.told(100.6, 2.0), "1.397");
+        assert_eq!(all.told(1499.9, 5.0), "0.001");
+        assert_eq!(budget.attempt(1500.0, None), None);
+        assert_eq!(budget.attempt(100.0, Some(0.0)), None);
+        assert_eq!(budget.attempt(100.0, Some(200.0)).unwrap().until(), 300.0);
+    }
+
+    proptest! {
+        /// Guards the one rule of budgets: whatever is cut out of one, and in whatever order, ends within it.
+        #[test]
+        fn nothing_cut_out_of_a_budget_outlives_it(
+            told in 0.001f64..80.0, began in 0.0f64..1e12, most in 1.0f64..10_000.0,
+            after in -1e4f64..1e5, limit in proptest::option::of(-10.0f64..1e6), wait in -10.0f64..1e6,
+            stop in -1e4f64..1e5,
+        ) {
+            let now = began + after;
+            if let Some(budget) = Budget::told(&told.to_string(), began, most) {
+                prop_assert!(budget.end() <= began + most && budget.left(now) >= 0.0);
+                let cut = budget.until(began + stop);
+                prop_assert!(cut.end() <= budget.end() && cut.end() <= began + stop);
+                if let Some(part) = cut.attempt(now, limit) {
+                    prop_assert!(part.until() <= cut.end() && part.until() > now);
+                    prop_assert!(limit.is_none_or(|limit| part.until() <= now + limit));
+                    let waited = part.wait(now, wait);
+                    prop_assert!(waited >= 0.0 && now + waited <= cut.end() * (1.0 + 1e-12));
+                    let told: f64 = part.told(now, 0.0).parse().unwrap();
+                    prop_assert!(told <= 0.001 || 1000.0 * told <= part.until() - now);
+                }
+            }
+        }
+    }
+
+    fn lag() -> Lag {
+        let parked = Parked { start: Instant::now(), micros: Arc::default() };
+        Lag::new(parked, 1000.0)
+    }
+
+    fn sleep_at(lag: &Lag, now: Millis) {
+        lag.parked.micros.store(((now - 1000.0) * 1000.0) as u64, Ordering::Relaxed);
+    }
+
+    /// Guards a client's time against a pause of the process: what is read after it is taken to have come when the loop
+    /// last slept, by whichever task reads it and until the loop sleeps again; what comes then is charged nothing.
+    #[test]
+    fn a_pause_is_charged_to_what_sat_through_it() {
+        let lag = lag();
+        lag.ran(1100.0, 1101.0);
+        sleep_at(&lag, 1102.0);
+        assert_eq!(lag.came(1150.0), 1150.0);
+        lag.ran(1200.0, 3200.0);
+        assert_eq!([lag.came(3200.0), lag.came(3230.0)], [1102.0; 2]);
+        sleep_at(&lag, 3231.0);
+        assert_eq!(lag.came(3240.0), 3240.0);
+        assert_eq!((lag.take_worst(), lag.take_worst()), (Some(2098.0), None));
+    }
+
+    /// Guards a loop that is too busy to sleep: a timer that is on time again ends what is charged, and what is charged
+    /// reaches back to the last thing that ran, not to a sleep long ago.
+    #[test]
+    fn a_loop_that_never_sleeps_is_charged_only_for_its_stalls() {
+        let lag = lag();
+        lag.ran(5000.0, 5001.0);
+        lag.ran(5100.0, 5180.0);
+        assert_eq!(lag.came(5181.0), 5001.0);
+        lag.ran(5280.0, 5281.0);
+        assert_eq!(lag.came(5282.0), 5282.0);
+    }
+
+    /// Guards against charges for coarse timers.
+    #[test]
+    fn a_timer_that_is_a_little_late_charges_nothing() {
+        let lag = lag();
+        lag.ran(1100.0, 1100.0 + TOLERANCE);
+        assert_eq!(lag.came(1125.0), 1125.0);
+    }
+
+    /// Guards the hook's own clock: a later sleep is told as a later one.
+    #[test]
+    fn a_sleep_is_noted_when_it_begins() {
+        let parked = Parked::new();
+        std::thread::sleep(Duration::from_millis(2));
+        parked.note();
+        assert!(parked.at() >= 2000);
+    }
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -13,14 +13,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
+use tokio::time::Sleep;
 
 /// The readiness check of the front before the front doors.
 const HEALTH: &str = "/_health";
@@ -28,6 +30,8 @@
 const LINGER: Duration = Duration::from_millis(550);
 /// Longest time after SIGTERM beyond the longest deadline: SIGKILL comes 0.7 s beyond it.
 const LAST_CALL: Duration = Duration::from_millis(550);
+/// Time for a connection that comes later still to say what it came for.
+const HEARD_OUT: Duration = Duration::from_millis(100);
 /// Time to accept what came just before the end.
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Pause when the system has no descriptor for a new connection.
@@ -40,6 +44,8 @@
 const IDLE_TIME: Millis = 6000.0;
 /// A request that has been coming for this long may be given up where there is no room.
 const UNHURRIED: Millis = 250.0;
+/// How long the loop has to have been held up for the operators to be told.
+const TOLD_LAG: Millis = 250.0;
 /// How often connections are looked through.
 const SWEEP: Duration = Duration::from_millis(100);
 /// How long a full house waits for one that is asked to leave.
@@ -136,8 +142,13 @@
     /// Closes what has had its time, for as long as the front door runs.
     pub async fn sweep(self: Rc<Self>) {
         loop {
+            let due = self.door.clock.now() + SWEEP.as_secs_f64() * 1000.0;
             tokio::time::sleep(SWEEP).await;
             let now = self.door.clock.now();
+            self.door.lag.ran(due, now);
+            if let Some(worst) = self.door.lag.take_worst().filter(|worst| *worst >= TOLD_LAG) {
+                eprintln!("held up for {worst:.0} ms: what came meanwhile has that much less time");
+            }
             for peer in self.peers.borrow().values() {
                 if let Some(how) = peer.overdue(now) {
                     peer.leave(how);
@@ -150,7 +161,7 @@
         let _open = Open { clients: &self, number };
         // Without it answers are late, not wrong.
         let _ = stream.set_nodelay(true);
-        let io = TokioIo::new(Watched { stream, peer: peer.clone(), door: self.door.clone() });
+        let io = TokioIo::new(Watched { stream, peer: peer.clone(), door: self.door.clone(), stalled: None });
         let service = service_fn(|request| {
             let (clients, peer) = (self.clone(), peer.clone());
             async move { Ok::<_, Infallible>(clients.answer(request, &peer).await) }
@@ -160,11 +171,15 @@
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.subscribe();
         let mut leaving = false;
+        // One that comes when idle ones have been closed is heard out, to be told when to come back.
+        let late = *phase.borrow() == Phase::Sweeping;
+        let mut heard_out = std::pin::pin!(tokio::time::sleep(HEARD_OUT));
         loop {
             tokio::select! {
                 // An error is a client that went away or wrote no HTTP; the library has answered the latter.
                 _ = connection.as_mut() => return,
-                _ = phase.wait_for(|phase| *phase == Phase::Sweeping), if !leaving => {}
+                _ = phase.wait_for(|phase| *phase == Phase::Sweeping), if !leaving && !late => {}
+                () = heard_out.as_mut(), if !leaving && late => {}
                 () = peer.asked.notified() => if peer.left.get() == Some(Leave::Now) { return },
             }
             leaving = true;
@@ -177,9 +192,12 @@
         let longest = self.door.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         let longest = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or_default();
         let end = tokio::time::Instant::now() + longest + LAST_CALL;
+        self.door.stopping(self.door.clock.now() + (longest + LAST_CALL).as_secs_f64() * 1000.0);
         self.phase.send_replace(Phase::Closing);
         tokio::time::sleep(LINGER).await;
         self.phase.send_replace(Phase::Sweeping);
+        // By now nobody is sent here any more; what comes all the same is served elsewhere, or by a successor.
+        self.door.turn_away();
         while !self.peers.borrow().is_empty() {
             let closed = tokio::time::timeout_at(end, self.closed.notified()).await;
             if closed.is_err() {
@@ -229,10 +247,12 @@
         let first = peer.first.get().unwrap_or(peer.last.get());
         let (head, body) = request.into_parts();
         let mut incoming = read_head(&self.door, &head, first)?;
-        let end = self.door.clock.instant(peer.begun() + READ_TIME);
+        let budget = incoming.budget;
+        let end = self.door.clock.instant(budget.end().min(peer.begun() + READ_TIME));
         incoming.order.body = read_body(body, &head.method, end).await?;
         incoming.at = peer.last.get();
         peer.whole();
+        peer.write_by.set(budget.end());
         let (id, answer) = self.door.arrive(incoming).ok_or(Bad::Twice)?;
         let mut waiting = Waiting { door: &self.door, id: Some(id) };
         let answer = answer.await.unwrap_or(Answer::Failed);
@@ -301,6 +321,8 @@
     idle_since: Cell<Option<Millis>>,
     left: Cell<Option<Leave>>,
     asked: Notify,
+    /// When the last byte of its answer is to be written: with the budget of its request.
+    write_by: Cell<Millis>,
 }
 
 impl Peer {
@@ -366,6 +388,24 @@
     stream: TcpStream,
     peer: Rc<Peer>,
     door: Rc<Door>,
+    /// Runs while the client takes no more bytes.
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl Watched {
+    /// Guards against clients that ask and do not read: what is still to be written when the request's time is up goes to
+    /// nobody, and the connection ends.
+    fn or_stalled<T>(&mut self, cx: &mut Context<'_>, wrote: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if wrote.is_ready() {
+            self.stalled = None;
+            return wrote;
+        }
+        let (clock, by) = (self.door.clock, self.peer.write_by.get().max(self.door.clock.now()));
+        let stalled =
+            self.stalled.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(clock.instant(by))));
+        ready!(stalled.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncRead for Watched {
@@ -377,7 +417,7 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.peer.heard(self.door.clock.now());
+            self.peer.heard(self.door.lag.came(self.door.clock.now()));
         }
         read
     }
@@ -385,7 +425,8 @@
 
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.or_stalled(cx, wrote)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -401,7 +442,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.or_stalled(cx, wrote)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Why a configuration cannot be used; each is one plain line.
 #[derive(Debug, thiserror::Error)]
@@ -69,6 +70,7 @@
     seed: String,
     limits: Limits,
     known: Option<Members>,
+    handover: Option<PathBuf>,
     settings: Value,
 }
 
@@ -87,6 +89,8 @@
     pub limits: Limits,
     /// The list of backends as this front door last had it.
     pub known: Option<Members>,
+    /// Where what a successor has to know is kept; nowhere unless told.
+    pub handover: Option<PathBuf>,
     /// The settings.
     pub told: Told,
 }
@@ -107,6 +111,7 @@
             seed,
             limits: file.limits,
             known: file.known,
+            handover: file.handover,
             told,
         })
     }
@@ -138,6 +143,9 @@
             let text = format!("limits.sockets: {} is under {LEAST_SOCKETS}", self.limits.sockets);
             return Err(ConfigError::Value(text));
         }
+        if self.handover.as_ref().is_some_and(|path| path.file_name().is_none()) {
+            return Err(ConfigError::Value("handover: that is no name of a file".to_owned()));
+        }
         Ok((seed, settings::parse(&facts(&self.settings)).map_err(ConfigError::Value)?))
     }
 }
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -5,9 +5,11 @@
 //! while actions are carried out wait in a queue, so the module is never re-entered.
 
 use super::backends::{self, Ended, Order, Reading};
+use super::budget::{Allowance, Budget, Lag, Parked};
 use super::clients::Answer;
 use super::config::Config;
 use super::discovery::{Health, Member, Members};
+use super::handover::Handover;
 use super::pool::{self, Line, Pools};
 use fnv::FnvHasher;
 use maplefall::settings::{self, Names};
@@ -15,10 +17,13 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::future::Future;
 use std::hash::Hasher;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
 
 /// How long after its deadline the id of a request that is over is turned down. Every request has its own, a client's retry too: one
 /// that comes again is somebody else's, and sent on it would run a second time.
@@ -26,7 +31,11 @@
 /// Ids of requests that are over that are kept at most.
 const IDS_KEPT: usize = 8192;
 
-/// A monotonic clock that reads as Unix milliseconds, so that start times of backends compare with it.
+/// What a planned stop keeps of its time, so that the last answers are written before the process ends.
+const LAST_WRITES: Millis = 100.0;
+
+/// A monotonic clock that reads as Unix milliseconds, so that start times of backends compare with it. The wall clock is
+/// read once: a step of it later moves no deadline.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
@@ -34,7 +43,8 @@
 }
 
 impl Clock {
-    fn new() -> Clock {
+    /// A clock that starts now.
+    pub fn new() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix: unix.as_secs_f64() * 1000.0 }
     }
@@ -45,9 +55,9 @@
     }
 
     /// A time of this clock as the runtime counts it.
-    pub fn instant(&self, at: Millis) -> tokio::time::Instant {
+    pub fn instant(&self, at: Millis) -> Instant {
         let after = Duration::try_from_secs_f64((at - self.unix) / 1000.0).unwrap_or_default();
-        tokio::time::Instant::from_std(self.start + after)
+        self.start + after
     }
 }
 
@@ -95,8 +105,8 @@
 pub struct Incoming {
     /// When its last byte came.
     pub at: Millis,
-    /// When its client stops waiting.
-    pub deadline: Millis,
+    /// Its time.
+    pub budget: Budget,
     /// Its owner.
     pub customer: CustomerId,
     /// Its owner's plan.
@@ -114,13 +124,26 @@
 /// A request that has no final answer yet, or an attempt of which is still out.
 struct Entry {
     order: Rc<Order>,
-    deadline: Millis,
+    budget: Budget,
     /// Present until the one final answer has been handed over.
     answer: Option<oneshot::Sender<Answer>>,
+    /// Whether running it again is harmless.
+    safe: bool,
     attempts: u32,
-    out: Option<Attempt>,
+    /// One, or two where second copies are permitted.
+    out: Vec<Attempt>,
+}
+
+impl Entry {
+    fn take(&mut self, number: u32) -> Option<Attempt> {
+        let place = self.out.iter().position(|attempt| attempt.number == number)?;
+        Some(self.out.remove(place))
+    }
 }
 
+/// Carries out one attempt: the sockets, or what a test puts in their place.
+type Carrier = dyn Fn(BackendId, Rc<Order>, Allowance, Care, Line) -> Pin<Box<dyn Future<Output = Ended>>>;
+
 /// An attempt that is out.
 struct Attempt {
     number: u32,
@@ -138,19 +161,28 @@
     past_ids: VecDeque<(Millis, Rc<str>)>,
     last_request: u32,
     backends: HashMap<String, BackendId>,
+    /// Of backends that say they were born later than now: what they said, and when it was first heard.
+    unborn: HashMap<BackendId, (Millis, Millis)>,
     timers: BinaryHeap<Reverse<Timer>>,
     timers_set: u64,
+    /// When a planned stop wants all answered.
+    stop: Option<Millis>,
+    /// What a predecessor left, and what a successor gets, if the configuration wants that.
+    handover: Option<Handover>,
 }
 
 /// A front door's driver.
 pub struct Door {
     /// The one clock.
     pub clock: Clock,
+    /// Whether the process was kept from running.
+    pub lag: Lag,
     /// The settings.
     pub settings: Settings,
     /// The names that the settings give to numbers.
     pub names: Names,
     pools: Rc<Pools>,
+    carrier: Box<Carrier>,
     state: RefCell<State>,
     queue: RefCell<VecDeque<(Millis, Event)>>,
     last_event: Cell<Millis>,
@@ -171,15 +203,48 @@
 
 impl Door {
     /// A front door with an empty list of backends.
-    pub fn new(config: &Config) -> Rc<Door> {
+    pub fn new(config: &Config, parked: Parked) -> Result<Rc<Door>, String> {
         let told = &config.told;
         let reading = Reading::new(told, config.limits.memory_mb << 20);
-        let pools = Pools::new(told.links, pool::budget(config.limits.sockets), reading);
-        Rc::new(Door {
-            clock: Clock::new(),
+        let pools = Rc::new(Pools::new(told.links, pool::budget(config.limits.sockets), reading));
+        let clock = Clock::new();
+        let links = pools.clone();
+        let carrier = move |backend,
+                            order: Rc<Order>,
+                            part,
+                            care,
+                            line: Line|
+              -> Pin<Box<dyn Future<Output = Ended>>> {
+            let pools = links.clone();
+            Box::pin(
+                async move { backends::attempt(&pools, clock, backend, &order, part, care, &line).await },
+            )
+        };
+        Door::with(config, parked, clock, pools, Box::new(carrier))
+    }
+
+    fn with(
+        config: &Config,
+        parked: Parked,
+        clock: Clock,
+        pools: Rc<Pools>,
+        carrier: Box<Carrier>,
+    ) -> Result<Rc<Door>, String> {
+        let told = &config.told;
+        let longest = told.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let open = |path: &std::path::PathBuf| {
+            Handover::open(path.clone(), clock, longest)
+                .map_err(|error| format!("handover: {}: {error}", path.display()))
+        };
+        let handover = config.handover.as_ref().map(open).transpose()?;
+        let since_start = clock.start.into_std().saturating_duration_since(parked.start());
+        Ok(Rc::new(Door {
+            clock,
+            lag: Lag::new(parked, clock.unix - since_start.as_secs_f64() * 1000.0),
             settings: told.settings.clone(),
             names: told.names.clone(),
-            pools: Rc::new(pools),
+            pools,
+            carrier,
             state: RefCell::new(State {
                 gateway: Gateway::new(told.settings.clone(), config.seed),
                 requests: HashMap::new(),
@@ -187,14 +252,17 @@
                 past_ids: VecDeque::new(),
                 last_request: 0,
                 backends: HashMap::new(),
+                unborn: HashMap::new(),
                 timers: BinaryHeap::new(),
                 timers_set: 0,
+                stop: None,
+                handover,
             }),
             queue: RefCell::default(),
             last_event: Cell::new(0.0),
             busy: Cell::new(false),
             earlier: Notify::new(),
-        })
+        }))
     }
 
     /// Whether there is a list to serve from.
@@ -248,34 +316,43 @@
     /// Takes a request in; `None` if one with its id has come before.
     pub fn arrive(self: &Rc<Self>, incoming: Incoming) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (sender, receiver) = oneshot::channel();
-        let id = {
+        let now = self.clock.now();
+        let (id, budget) = {
             let mut state = self.state.borrow_mut();
-            state.forget_ids(incoming.at);
-            if !state.ids.insert(incoming.order.id.clone()) {
+            state.forget_ids(now);
+            let name = incoming.order.id.clone();
+            let before = state.handover.as_ref().and_then(|handover| handover.before(&name));
+            if before.is_some_and(|before| before.ran) || !state.ids.insert(name.clone()) {
                 return None;
             }
             let id = state.new_request();
-            let entry = Entry {
-                order: Rc::new(incoming.order),
-                deadline: incoming.deadline,
-                answer: Some(sender),
-                attempts: 0,
-                out: None,
-            };
-            state.requests.insert(id, entry);
-            id
+            let ends = [state.stop, before.map(|before| before.end)];
+            let budget = ends.into_iter().flatten().fold(incoming.budget, |budget, end| budget.until(end));
+            if let Some(handover) = &mut state.handover {
+                handover.taken(&name, budget.end());
+            }
+            let safe = self.settings.classes[incoming.class.0].effect == Effect::Safe;
+            let (order, answer) = (Rc::new(incoming.order), Some(sender));
+            state.requests.insert(id, Entry { order, budget, answer, safe, attempts: 0, out: Vec::new() });
+            (id, budget)
         };
-        self.set_timer(incoming.deadline, Due::Deadline(id));
+        self.set_timer(budget.end(), Due::Deadline(id));
         let request = Request {
             id,
             customer: incoming.customer,
             plan: incoming.plan,
             class: incoming.class,
             units: incoming.units,
-            deadline: incoming.deadline,
+            deadline: budget.end(),
             spread: incoming.spread,
+            waited: (now - incoming.at).max(0.0),
         };
-        self.post(incoming.at, Event::Arrival(request));
+        if incoming.budget.over(now) {
+            // It waited unread until nobody waited for it: there is nothing to decide.
+            self.answer(id, Answer::Failed);
+        } else {
+            self.post(now, Event::Arrival(request));
+        }
         Some((id, receiver))
     }
 
@@ -301,35 +378,59 @@
         state.forget_if_over(id);
     }
 
+    /// A planned stop, with all answered by `end`. What has come keeps its budget, cut to the stop's; what comes from
+    /// now on may be told to come back.
+    pub fn stopping(self: &Rc<Self>, end: Millis) {
+        let end = end - LAST_WRITES;
+        let cut: Vec<RequestId> = {
+            let mut state = self.state.borrow_mut();
+            state.stop = Some(end);
+            let late = state.requests.iter_mut().filter(|(_, entry)| entry.budget.end() > end);
+            late.map(|(id, entry)| {
+                entry.budget = entry.budget.until(end);
+                *id
+            })
+            .collect()
+        };
+        cut.into_iter().for_each(|id| self.set_timer(end, Due::Deadline(id)));
+    }
+
+    /// What arrives from now on is refused: a planned stop has come too far for it.
+    pub fn turn_away(self: &Rc<Self>) {
+        let stop = self.state.borrow().stop;
+        self.post(self.clock.now(), Event::Stopping(stop.unwrap_or_default()));
+    }
+
     // ---- Attempts -----------------------------------------------------------------------------------
 
     fn send(self: &Rc<Self>, id: RequestId, backend: BackendId, limit: Option<Millis>, care: Care) {
         let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
+        let mut held = self.state.borrow_mut();
+        let state = &mut *held;
         let Some(entry) = state.requests.get_mut(&id) else { return };
         let number = entry.attempts;
         entry.attempts += 1;
-        let limit = limit.unwrap_or(f64::INFINITY).min(entry.deadline - now);
-        let over = entry.answer.is_none() || entry.out.is_some() || limit <= 0.0;
-        if over || number >= self.settings.max_attempts {
-            drop(state);
-            self.post(
-                now,
-                Event::Settled(settled(id, number, backend, 0.0, &Ended::of(Outcome::NotSent), false)),
-            );
+        let copies = if self.settings.second_copies { 2 } else { 1 };
+        let fits = entry.answer.is_some() && entry.out.len() < copies && number < self.settings.max_attempts;
+        // A copy belongs at another backend than the first: what ends there tells which of the two it was.
+        let fits = fits && entry.out.iter().all(|attempt| attempt.backend != backend);
+        let Some(part) = entry.budget.attempt(now, limit).filter(|_| fits) else {
+            drop(held);
+            let ended = Ended::of(Outcome::NotSent);
+            self.post(now, Event::Settled(settled(id, number, backend, 0.0, &ended, false)));
             return;
+        };
+        if let Some(handover) = state.handover.as_mut().filter(|_| !entry.safe) {
+            handover.sent(&entry.order.id, entry.budget.end());
         }
-        let order = entry.order.clone();
         let line = Line::default();
-        let (door, pools, on) = (self.clone(), self.pools.clone(), line.clone());
-        let task = tokio::task::spawn_local(async move {
-            let ended = backends::attempt(&pools, backend, &order, limit, care, &on).await;
-            door.settle(id, number, ended);
-        });
+        let carried = (self.carrier)(backend, entry.order.clone(), part, care, line.clone());
+        let door = self.clone();
+        let task = tokio::task::spawn_local(async move { door.settle(id, number, carried.await) });
         line.tie(task.abort_handle());
-        entry.out = Some(Attempt { number, backend, sent: now, line });
-        drop(state);
-        self.set_timer(now + limit, Due::TimeOut(id, number));
+        entry.out.push(Attempt { number, backend, sent: now, line });
+        drop(held);
+        self.set_timer(part.until(), Due::TimeOut(id, number));
     }
 
     /// Settles an attempt, once: whatever ends it later finds it gone.
@@ -338,7 +439,7 @@
         let event = {
             let mut state = self.state.borrow_mut();
             let Some(entry) = state.requests.get_mut(&id) else { return };
-            let Some(attempt) = entry.out.take_if(|attempt| attempt.number == number) else { return };
+            let Some(attempt) = entry.take(number) else { return };
             if matches!(ended.outcome, Outcome::Cancelled | Outcome::Timeout) {
                 // What has not been written whole when its connection is closed cannot run.
                 if ended.outcome == Outcome::Timeout && !attempt.line.whole() {
@@ -385,7 +486,10 @@
                 }
             };
             match next {
-                Some(Ok(timer)) => self.fire(now, timer.due),
+                Some(Ok(timer)) => {
+                    self.lag.ran(timer.at, now);
+                    self.fire(now, timer.due);
+                }
                 Some(Err(at)) => tokio::select! {
                     () = tokio::time::sleep_until(self.clock.instant(at)) => {}
                     () = self.earlier.notified() => {}
@@ -427,6 +531,8 @@
                     self.pools.remove(*id);
                 }
                 state.backends.retain(|host, _| listed.contains(host.as_str()));
+                let State { backends, unborn, .. } = &mut *state;
+                unborn.retain(|id, _| backends.values().any(|known| known == id));
             }
             members.hosts.iter().map(|member| self.entry(&mut state, member)).collect()
         };
@@ -446,6 +552,7 @@
             Health::Removed => {
                 self.pools.remove(id);
                 state.backends.remove(&member.host);
+                state.unborn.remove(&id);
             }
         }
         let site = settings::plain(&member.site);
@@ -455,7 +562,7 @@
             zone: ZoneId(zone.map_or(u32::MAX, |zone| zone as u32)),
             cell: CellId(member.block),
             availability,
-            started: (member.born_ms > 0.0).then_some(member.born_ms),
+            started: (member.born_ms > 0.0).then(|| state.born(id, member.born_ms, self.clock.now())),
             size: member.share,
         }
     }
@@ -485,8 +592,8 @@
                 Due::Alarm(_) => false,
                 Due::Deadline(id) => self.requests.get(&id).is_none_or(|entry| entry.answer.is_none()),
                 Due::TimeOut(id, number) => {
-                    let out = self.requests.get(&id).and_then(|entry| entry.out.as_ref());
-                    out.is_none_or(|attempt| attempt.number != number)
+                    let entry = self.requests.get(&id);
+                    entry.is_none_or(|entry| entry.out.iter().all(|attempt| attempt.number != number))
                 }
             };
             if !dead {
@@ -510,11 +617,24 @@
         BackendId(number)
     }
 
+    /// When a backend was born that says `told`. Guards against clocks that disagree: nobody is born later than now, and
+    /// one that a clock ahead of ours told is as old as the news of it, not cold until our clock gets there.
+    fn born(&mut self, id: BackendId, told: Millis, now: Millis) -> Millis {
+        if told <= now && !self.unborn.contains_key(&id) {
+            return told;
+        }
+        let known = self.unborn.entry(id).or_insert((told, now));
+        if known.0 != told {
+            *known = (told, now.min(told));
+        }
+        known.1
+    }
+
     fn forget_if_over(&mut self, id: RequestId) {
-        let over = self.requests.get(&id).is_some_and(|entry| entry.answer.is_none() && entry.out.is_none());
+        let over = self.requests.get(&id).is_some_and(|entry| entry.answer.is_none() && entry.out.is_empty());
         if over {
             if let Some(entry) = self.requests.remove(&id) {
-                self.past_ids.push_back((entry.deadline, entry.order.id.clone()));
+                self.past_ids.push_back((entry.budget.end(), entry.order.id.clone()));
             }
         }
     }
@@ -561,6 +681,10 @@
     }
 }
 
+#[cfg(test)]
+#[path = "schedules.rs"]
+mod schedules;
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,193 @@
+//! What a front door that starts has to know of the one that ended under its name: what time its requests had left, and
+//! which of them may have run. Off unless the configuration names a file under `handover`.
+//!
+//! Lines are appended as things happen, so that they outlast a process that is killed; they are not written through to
+//! a disk, so they do not outlast the machine. What is read back is judged like any input: a line that is torn or makes
+//! no sense is passed over.
+
+use super::door::Clock;
+use maplefall::Millis;
+use std::collections::HashMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// How long after its end a request is still told to a successor: a client that resends does so at once.
+const KEPT: Millis = 5000.0;
+/// Bytes after which the file is written anew, with what still matters.
+const COMPACT: u64 = 1 << 20;
+/// Requests that are kept at most, the file's and this process's own.
+const MOST: usize = 16_384;
+
+/// What is known of one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Known {
+    /// When its client stops waiting.
+    pub end: Millis,
+    /// Whether an attempt of it that must not be repeated may have run.
+    pub ran: bool,
+}
+
+/// The file, and the requests that it tells of.
+pub struct Handover {
+    path: PathBuf,
+    file: Option<File>,
+    written: u64,
+    clock: Clock,
+    /// Of the process before this one.
+    before: HashMap<Rc<str>, Known>,
+    /// Of this one.
+    own: HashMap<Rc<str>, Known>,
+}
+
+impl Handover {
+    /// Reads what a predecessor left and begins the file anew. No time of a request may lie more than `most` ahead.
+    pub fn open(path: PathBuf, clock: Clock, most: Millis) -> io::Result<Handover> {
+        let now = clock.now();
+        let text = match std::fs::read(&path) {
+            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => String::new(),
+            Err(error) => return Err(error),
+        };
+        let sane = |known: &Known| known.end > now - KEPT && known.end <= now + most;
+        let mut before: HashMap<Rc<str>, Known> = HashMap::new();
+        // The last lines count: of what is over the bound, the oldest is left out.
+        for (id, known) in text.lines().rev().filter_map(read).filter(|(_, known)| sane(known)).take(2 * MOST)
+        {
+            let entry = before.entry(id.into()).or_insert(known);
+            entry.ran |= known.ran;
+            entry.end = entry.end.min(known.end);
+        }
+        let mut handover = Handover { path, file: None, written: 0, clock, before, own: HashMap::new() };
+        handover.compact()?;
+        Ok(handover)
+    }
+
+    /// What the process before this one left of a request.
+    pub fn before(&self, id: &str) -> Option<Known> {
+        self.before.get(id).copied()
+    }
+
+    /// A request has been taken.
+    pub fn taken(&mut self, id: &Rc<str>, end: Millis) {
+        self.note(id, Known { end, ran: false });
+    }
+
+    /// An attempt of a request that must not be repeated goes out: from here on it may have run.
+    pub fn sent(&mut self, id: &Rc<str>, end: Millis) {
+        if self.own.get(id).is_none_or(|known| !known.ran) {
+            self.note(id, Known { end, ran: true });
+        }
+    }
+
+    fn note(&mut self, id: &Rc<str>, known: Known) {
+        if self.file.is_none() {
+            return;
+        }
+        self.own.insert(id.clone(), known);
+        let wrote = match self.written >= COMPACT || self.own.len() > MOST {
+            true => self.compact(),
+            false => self.append(id, known),
+        };
+        if let Err(error) = wrote {
+            // A front door goes on serving; what it promises its successor ends here, and is said to.
+            eprintln!("handover: {}: {error}: nothing more is handed over", self.path.display());
+            (self.file, self.own, self.before) = (None, HashMap::new(), HashMap::new());
+        }
+    }
+
+    fn append(&mut self, id: &str, known: Known) -> io::Result<()> {
+        let line = line(id, known);
+        self.written += line.len() as u64;
+        match &mut self.file {
+            Some(file) => file.write_all(line.as_bytes()),
+            None => Ok(()),
+        }
+    }
+
+    /// Writes what still matters to a new file and puts it in the place of the old one.
+    fn compact(&mut self) -> io::Result<()> {
+        let now = self.clock.now();
+        self.before.retain(|_, known| known.end > now - KEPT);
+        self.own.retain(|_, known| known.end > now - KEPT);
+        if self.own.len() > MOST {
+            // More than fits within their times: what must not run twice stays, and of the rest nothing is promised.
+            self.own.retain(|_, known| known.ran);
+        }
+        let fresh = self.path.with_extension("new");
+        let mut text = String::new();
+        for (id, known) in self.before.iter().chain(&self.own) {
+            text.push_str(&line(id, *known));
+        }
+        std::fs::write(&fresh, &text)?;
+        std::fs::rename(&fresh, &self.path)?;
+        self.file = Some(OpenOptions::new().append(true).open(&self.path)?);
+        self.written = text.len() as u64;
+        Ok(())
+    }
+}
+
+fn line(id: &str, known: Known) -> String {
+    format!("1 {:.0} {} {id}\n", known.end, if known.ran { "ran" } else { "taken" })
+}
+
+fn read(line: &str) -> Option<(&str, Known)> {
+    let mut words = line.split(' ');
+    let (version, end, state, id) = (words.next()?, words.next()?, words.next()?, words.next()?);
+    let ran = match state {
+        "ran" => true,
+        "taken" => false,
+        _ => return None,
+    };
+    let end: f64 = end.parse().ok().filter(|end: &f64| end.is_finite())?;
+    let sound = version == "1" && !id.is_empty() && words.next().is_none();
+    sound.then_some((id, Known { end, ran }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn path(name: &str) -> PathBuf {
+        std::env::temp_dir().join(format!("handover-{}-{name}", std::process::id()))
+    }
+
+    /// Guards what is handed over: the least time and the worst that was seen of a request; torn, odd and stale lines,
+    /// and times that no class allows, tell nothing.
+    #[test]
+    fn what_was_left_is_read_and_the_rest_passed_over() {
+        let (path, clock) = (path("read"), Clock::new());
+        let now = clock.now();
+        let (near, stale, far) = (now + 3000.0, now - 6000.0, now + 9000.0);
+        let text = format!(
+            "1 {near:.0} taken a\n1 {near:.0} ran a\n1 {near:.0} taken b\n1 {stale:.0} ran c\n1 {far:.0} ran d\n\
+             2 {near:.0} ran e\n1 NaN ran f\n1 {near:.0} ran g h\n1 {near:.0} ra"
+        );
+        std::fs::write(&path, [text.as_bytes(), b"\xff\xfe"].concat()).expect("a file");
+        let handover = Handover::open(path.clone(), clock, 8000.0).expect("a handover");
+        let known: Vec<_> =
+            "abcdefgh".chars().map(|id| handover.before(&id.to_string()).map(|k| k.ran)).collect();
+        assert_eq!(known, [Some(true), Some(false), None, None, None, None, None, None]);
+        assert!((handover.before("a").expect("known").end - near).abs() <= 1.0);
+        std::fs::remove_file(path).expect("the file");
+    }
+
+    /// Guards the file's size, and what must not run twice against being forgotten with the rest.
+    #[test]
+    fn the_file_stays_small_and_keeps_what_must_not_run_twice() {
+        let (path, clock) = (path("size"), Clock::new());
+        let end = clock.now() + 3000.0;
+        let mut handover = Handover::open(path.clone(), clock, 8000.0).expect("a handover");
+        handover.sent(&"unsafe".into(), end);
+        for i in 0..3 * MOST {
+            handover.taken(&format!("safe-{i}").into(), end);
+        }
+        assert!(handover.own.len() <= MOST + 1);
+        let length = std::fs::metadata(&path).expect("the file").len();
+        assert!(length <= COMPACT + 64, "{length} bytes");
+        let next = Handover::open(path.clone(), clock, 8000.0).expect("a handover");
+        assert_eq!(next.before("unsafe").map(|known| known.ran), Some(true));
+        std::fs::remove_file(path).expect("the file");
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,14 +2,17 @@
 
 mod backends;
 mod backoff;
+pub mod budget;
 mod clients;
 pub mod config;
 mod discovery;
 mod door;
+mod handover;
 mod pool;
 mod request;
 
 use backoff::Backoff;
+use budget::Parked;
 use clients::Clients;
 use config::Config;
 use door::Door;
@@ -18,7 +21,7 @@
 use tokio::sync::watch;
 
 /// Serves until a SIGTERM has been carried out.
-pub async fn run() -> Result<(), String> {
+pub async fn run(parked: Parked) -> Result<(), String> {
     let no_signals = |error| format!("no signals: {error}");
     // Before anything else: until they are caught, both end the process.
     let mut reload = signal(SignalKind::hangup()).map_err(no_signals)?;
@@ -29,7 +32,7 @@
         .await
         .map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     let bound = listener.local_addr().map_err(|error| format!("cannot listen on {listen}: {error}"))?;
-    let door = Door::new(&config);
+    let door = Door::new(&config, parked)?;
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     let agent = watch::Sender::new(config.discovery);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -7,7 +7,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use maplefall::settings::Links;
-use maplefall::{BackendId, Care};
+use maplefall::{BackendId, Care, Millis};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -18,11 +18,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 /// Part of the backends' idle time for which a connection is kept: one closed there costs a request.
 const IDLE_PART: f64 = 0.6;
@@ -34,6 +34,8 @@
 /// A request sent with caution has its last byte held back for this long: within one data centre a reset is back by
 /// then. Where the way is longer, caution finds less and costs no more.
 const PROOF: Duration = Duration::from_millis(2);
+/// What is known of the way to the backends grows by this with each dial: a longer way is learnt within some tens.
+const WAY_FADES: f64 = 1.05;
 /// Descriptors kept for discovery, listening and the runtime.
 const SPARE_SOCKETS: usize = 24;
 /// Connections to backends that `sockets` descriptors leave room for. Clients hold a third of the descriptors
@@ -243,6 +245,15 @@
         self.wire.borrow().as_ref().is_some_and(|wire| wire.whole())
     }
 
+    /// As though the request had been written whole, for a stand-in that writes nothing.
+    #[cfg(test)]
+    pub fn pretend_whole(&self) {
+        let written = Written { head_done: true, ..Written::default() };
+        let (cautious, proof) = (Cell::default(), RefCell::default());
+        let wire = Wire { socket: RefCell::default(), written: RefCell::new(written), cautious, proof };
+        self.hold(&Rc::new(wire));
+    }
+
     /// Gives the attempt up: its connection is closed before this returns.
     pub fn give_up(&self) {
         if let Some(wire) = self.wire.borrow_mut().take() {
@@ -327,6 +338,8 @@
     /// How answers are read.
     pub reading: Reading,
     open: Rc<Cell<usize>>,
+    /// The way to a backend and back, as dials of late took at least.
+    round_trip: Cell<Option<Millis>>,
     pools: RefCell<HashMap<BackendId, Pool>>,
     ages: RefCell<Ages>,
 }
@@ -339,6 +352,7 @@
             budget,
             reading,
             open: Rc::default(),
+            round_trip: Cell::default(),
             pools: RefCell::default(),
             ages: RefCell::default(),
         }
@@ -429,6 +443,23 @@
         self.ages.borrow_mut().learn(Instant::now(), idle, broke);
     }
 
+    /// How long a dial may take at most.
+    pub fn dial_timeout(&self) -> Millis {
+        self.links.dial_timeout
+    }
+
+    /// How long an answer is on its way, as far as dials tell; nothing before the first.
+    pub fn way_back(&self) -> Millis {
+        self.round_trip.get().unwrap_or(0.0) / 2.0
+    }
+
+    /// A dial that came up took the way there and back, and whatever held it up: the least of late tells the way.
+    fn learn_way(&self, took: Duration) {
+        let took = took.as_secs_f64() * 1000.0;
+        let known = self.round_trip.get().map_or(took, |known| took.min(known * WAY_FADES));
+        self.round_trip.set(Some(known));
+    }
+
     fn longest_idle(&self) -> Duration {
         Duration::try_from_secs_f64(self.links.idle_close * IDLE_PART / 1000.0).unwrap_or_default()
     }
@@ -455,18 +486,20 @@
     }
 
     /// A new connection of this backend.
-    pub async fn fresh(&self, dial: SocketAddr) -> Result<Connection, NoConnection> {
+    pub async fn fresh(&self, dial: SocketAddr, limit: Millis) -> Result<Connection, NoConnection> {
         if self.open.get() >= self.budget && !self.close_oldest() {
             return Err(NoConnection::Own);
         }
-        let limit = Duration::try_from_secs_f64(self.links.dial_timeout / 1000.0).unwrap_or_default();
+        let limit = Duration::try_from_secs_f64(limit / 1000.0).unwrap_or_default();
         tokio::time::timeout(limit, self.dial(dial)).await.unwrap_or(Err(NoConnection::Theirs))
     }
 
     async fn dial(&self, address: SocketAddr) -> Result<Connection, NoConnection> {
         // A connection that comes up slowly holds a descriptor too.
         let slot = Slot::take(&self.open);
+        let begun = Instant::now();
         let stream = TcpStream::connect(address).await?;
+        self.learn_way(begun.elapsed());
         stream.set_nodelay(true)?;
         let wire = Rc::new(Wire {
             socket: RefCell::new(Some((stream, slot))),
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -2,6 +2,7 @@
 //! what goes on to a backend is what a client of this service would have written, or it is answered 400.
 
 use super::backends::{Order, LONGEST_BODY};
+use super::budget::Budget;
 use super::door::{Door, Incoming};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming as IncomingBody};
@@ -83,9 +84,9 @@
     let class = class(door, head)?;
     let plan_name = plain(text(headers, &API_PLAN)?);
     let plan = door.names.plans.iter().position(|name| *name == plan_name).ok_or(Bad::Plan)?;
-    let timeout = positive(text(headers, &REQUEST_TIMEOUT)?).ok_or(Bad::Header(REQUEST_TIMEOUT))?;
-    // No client waits for longer than its class allows.
-    let timeout = (timeout * 1000.0).min(door.settings.classes[class].deadline);
+    let most = door.settings.classes[class].deadline;
+    let budget = Budget::told(text(headers, &REQUEST_TIMEOUT)?, first, most);
+    let budget = budget.ok_or(Bad::Header(REQUEST_TIMEOUT))?;
     let terms = Terms::read(text(headers, &API_TERMS)?, &door.settings).ok_or(Bad::Header(API_TERMS))?;
     let path = head.uri.path_and_query().ok_or(Bad::Path)?;
     if !path.as_str().bytes().all(|byte| byte.is_ascii_graphic()) {
@@ -97,7 +98,7 @@
     }
     Ok(Incoming {
         at: first,
-        deadline: first + timeout,
+        budget,
         customer: customer(headers).ok_or(Bad::Header(COOKIE))?,
         plan: PlanId(plan),
         class: ClassId(class),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -88,6 +88,10 @@
 const RETRY_SHARE: f64 = 0.2;
 /// Further attempts saved up at most.
 const RETRY_DEPTH: f64 = 10.0;
+/// Part of the good answers of a class that came sooner than the time below which an attempt is not begun.
+const QUICKEST: f64 = 0.1;
+/// How far one answer moves that time, as a part of it.
+const QUICK_STEP: f64 = 0.1;
 /// Part of a ceiling's slack that the parts make use of; the rest is for rounding.
 const SLACK_USED: f64 = 0.9;
 /// Alarm that asks again for the list of backends.
@@ -203,7 +207,8 @@
     request: Request,
     arrived: Millis,
     sends: u32,
-    out: Option<BackendId>,
+    /// Its attempts that are out, and where: two while a second copy runs.
+    out: Vec<(u32, BackendId)>,
     /// Send time, zone and cell of the first attempt that may have run.
     may_have_run: Option<(Millis, ZoneId, CellId)>,
     started: bool,
@@ -245,6 +250,10 @@
     usual: f64,
     /// Units within the quotas that ask to be sent on, as a recent average.
     demand: Cewma,
+    /// By class, the time that few good answers came within; nothing before the first.
+    quick: BTreeMap<ClassId, Millis>,
+    /// When a planned stop has all answered, once there is one.
+    stop: Option<Millis>,
 }
 
 impl Gateway {
@@ -273,6 +282,8 @@
             usual: 1.0,
             answer_at: 0.0,
             demand: Cewma::default(),
+            quick: BTreeMap::new(),
+            stop: None,
         }
     }
 
@@ -290,7 +301,11 @@
             Event::Settled(settled) => self.settled(now, &settled, actions),
             Event::ClientGone(id) => self.abandon(id, actions),
             Event::Alarm(LIST_ALARM) => actions.push(Action::Subscribe),
-            Event::Alarm(AlarmId(name)) => self.out_of_time(now, name, actions),
+            Event::Alarm(AlarmId(name)) => match (name >> 32, RequestId(name as u32)) {
+                (0, id) => self.out_of_time(now, id, actions),
+                (attempt, id) => self.copy(now, id, attempt as u32 - 1, actions),
+            },
+            Event::Stopping(end) => self.stop = Some(end),
             // No probes are sent: load is judged by this gateway's own attempts.
             Event::Probed { .. } => {}
         }
@@ -312,12 +327,17 @@
         request.spread = in_range(request.spread, 1.0, f64::from(self.set.gateways.max(1)), 1.0).round();
         let class = &self.set.classes[request.class.0];
         request.deadline = in_range(request.deadline, now, now + class.deadline, now + class.deadline);
+        let waited = in_range(request.waited, 0.0, class.deadline, 0.0);
+        if let Some(end) = self.stop {
+            actions.push(self.refusal(request.id, Some((end - now).max(0.0))));
+            return;
+        }
         self.evict(now);
         let live = Live {
             request,
-            arrived: now,
+            arrived: now - waited,
             sends: 0,
-            out: None,
+            out: Vec::new(),
             may_have_run: None,
             started: false,
             answered: false,
@@ -410,7 +430,8 @@
         let (backend, wait) = self.choose(now, live, Reach::Anywhere).ok_or(None)?;
         // A client that leaves before an answer can be expected would come again after work done for nothing.
         let expected = wait + self.backends.get(&backend).map_or(0.0, |b| self.pace(b)) * request.units;
-        if wait > WAIT_LIMIT * self.aim || PATIENCE * expected > request.deadline - now {
+        let late = PATIENCE * expected > request.deadline - now || !self.fits(now, live);
+        if wait > WAIT_LIMIT * self.aim || late {
             return Err(None);
         }
         if let Some(customer) = self.customers.get_mut(&request.customer) {
@@ -551,7 +572,8 @@
         let mut rng = self.rng.clone();
         for id in among {
             let Some(backend) = self.backends.get(id) else { continue };
-            if !fits(&backend.entry) || !self.warm_enough(now, backend, even_rate) {
+            let copied = live.out.iter().any(|(_, at)| at == id);
+            if copied || !fits(&backend.entry) || !self.warm_enough(now, backend, even_rate) {
                 continue;
             }
             let wait = self.wait(backend);
@@ -718,14 +740,21 @@
         let due = self.due(now, backend, even_rate) - units;
         let load = Self::load_of(backend) + units;
         let left = self.cut(live) - now;
-        let limit = self.patience(now, live, self.pace(backend) * load).min(left).max(self.set.tick);
+        let (attempt, patience) = (live.sends, self.patience(now, live, self.pace(backend) * load));
+        // A second copy costs less than giving up: the first may still answer.
+        let copy = self.set.second_copies && patience < left;
+        let limit = if copy { left } else { patience.min(left) }.max(self.set.tick);
+        if copy && live.out.is_empty() {
+            let alarm = AlarmId(u64::from(attempt + 1) << 32 | u64::from(id.0));
+            actions.push(Action::SetAlarm { at: now + patience, alarm });
+        }
         if let Some(backend) = self.backends.get_mut(&to) {
             backend.out.insert(id, Flight { at: now, class: live.request.class, load, units });
             (backend.due, backend.due_at) = (due, now);
         }
         let Some(live) = self.requests.get_mut(&id) else { return };
         live.sends += 1;
-        live.out = Some(to);
+        live.out.push((attempt, to));
         if let Some(customer) = self.customers.get_mut(&live.request.customer) {
             customer.open += 1;
         }
@@ -753,22 +782,71 @@
         };
         let limit = (HUNG * expected).max(HUNG_AIMS * class.aim);
         let fits = 2.0 * limit <= self.cut(live) - now && live.sends + 1 < self.set.max_attempts;
-        // Where answers are slow everywhere a repeat would only add to the queues.
-        let calm = self.opening > CALM && self.pressure < 1.0 - CALM;
-        if again && fits && calm && self.retries >= 1.0 {
+        if again && fits && self.calm() && self.retries >= 1.0 {
             limit
         } else {
             f64::INFINITY
         }
     }
 
+    /// Whether the backends have room for a repeat: where answers are slow everywhere it would only add to
+    /// the queues.
+    fn calm(&self) -> bool {
+        self.opening > CALM && self.pressure < 1.0 - CALM
+    }
+
+    /// Whether an attempt begun now can end in what is left of its request's time.
+    fn fits(&self, now: Millis, live: &Live) -> bool {
+        let quick = self.quick.get(&live.request.class).copied().unwrap_or(0.0);
+        self.cut(live) - now > quick.max(self.set.tick)
+    }
+
+    /// The time of few good answers of a class, moved by one that took `elapsed`.
+    fn feel_service(&mut self, class: ClassId, elapsed: Millis) {
+        let quick = self.quick.entry(class).or_insert(elapsed / 2.0);
+        *quick *= 1.0 + QUICK_STEP * if elapsed < *quick { QUICKEST - 1.0 } else { QUICKEST };
+    }
+
+    /// Sends a second copy beside an attempt that has hung for too long, within the same time.
+    fn copy(&mut self, now: Millis, id: RequestId, attempt: u32, actions: &mut Vec<Action>) {
+        let Some(live) = self.requests.get(&id).filter(|live| !live.answered && !live.started) else {
+            return;
+        };
+        let alone = live.out.len() == 1 && live.out[0].0 == attempt && live.sends < self.set.max_attempts;
+        if !alone || !self.calm() || self.retries < 1.0 || !self.fits(now, live) {
+            return;
+        }
+        let seen = self.exposed(live);
+        let reach = self.reach(now, &seen);
+        if let Some((backend, _)) = self.choose(now, &seen, reach) {
+            self.retries -= 1.0;
+            self.send(now, id, backend, actions);
+        }
+    }
+
+    /// A request as it stands if an attempt of it that is out has run.
+    fn exposed(&self, live: &Live) -> Live {
+        let mut seen = live.clone();
+        if let (None, Some((_, to))) = (seen.may_have_run, seen.out.first()) {
+            let backend = self.backends.get(to);
+            let flight = backend.and_then(|b| b.out.get(&live.request.id));
+            let place =
+                backend.map_or((ZoneId(u32::MAX), CellId(u32::MAX)), |b| (b.entry.zone, b.entry.cell));
+            seen.may_have_run = Some((flight.map_or(0.0, |f| f.at), place.0, place.1));
+        }
+        seen
+    }
+
     fn settled(&mut self, now: Millis, settled: &Settled, actions: &mut Vec<Action>) {
         let Some(mut live) = self.requests.remove(&settled.request) else { return };
-        if live.out != Some(settled.backend) || settled.attempt + 1 != live.sends {
+        let Some(place) = live.out.iter().position(|out| *out == (settled.attempt, settled.backend)) else {
             self.requests.insert(settled.request, live);
             return;
+        };
+        live.out.remove(place);
+        if settled.outcome == Outcome::Ok {
+            self.feel_service(live.request.class, settled.elapsed.max(0.0));
         }
-        live.out = None;
         if settled.outcome == Outcome::Ok && !live.slow {
             let mark = self.slow_mark(&live) - live.arrived;
             self.feel_answer(now, (SLOW_AIMS * (now - live.arrived) / mark).min(1.0));
@@ -777,6 +855,14 @@
         self.settle_quota(now, &live.request, settled);
         let over = settled.closed || live.answered || settled.outcome == Outcome::Ok;
         if over {
+            // A copy that is still out works for nobody.
+            if !live.out.is_empty() {
+                let (id, told) = (live.request.id, live.answered);
+                self.requests.insert(id, live);
+                if !told {
+                    self.abandon(id, actions);
+                }
+            }
             return;
         }
         let proven = matches!(settled.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
@@ -785,9 +871,14 @@
             let (zone, cell) = place.unwrap_or((ZoneId(u32::MAX), CellId(u32::MAX)));
             live.may_have_run = Some((now - settled.elapsed.max(0.0), zone, cell));
         }
+        if !live.out.is_empty() {
+            // The other copy is whole, with all of the time that both had.
+            self.requests.insert(live.request.id, live);
+            return;
+        }
         let reach = self.reach(now, &live);
-        let time_left = self.cut(&live) - now > self.set.tick;
-        if !live.started && time_left && self.retries >= 1.0 && live.sends < self.set.max_attempts {
+        if !live.started && self.fits(now, &live) && self.retries >= 1.0 && live.sends < self.set.max_attempts
+        {
             if let Some((backend, _)) = self.choose(now, &live, reach) {
                 self.retries -= 1.0;
                 let id = live.request.id;
@@ -814,11 +905,7 @@
 
     /// The final answer for a request that will not be served: a refusal only where repeating is harmless.
     fn last_word(&self, now: Millis, live: &Live) -> Action {
-        let mut seen = live.clone();
-        if let (None, Some(to)) = (seen.may_have_run, seen.out) {
-            let flight = self.backends.get(&to).and_then(|b| b.out.get(&live.request.id));
-            seen.may_have_run = Some((flight.map_or(0.0, |f| f.at), ZoneId(0), CellId(0)));
-        }
+        let seen = self.exposed(live);
         let safe = self.set.classes[live.request.class.0].effect == Effect::Safe;
         if safe || self.reach(now, &seen) == Reach::Anywhere {
             self.refusal(live.request.id, None)
@@ -827,17 +914,17 @@
         }
     }
 
-    fn out_of_time(&mut self, now: Millis, name: u64, actions: &mut Vec<Action>) {
-        let Ok(id) = u32::try_from(name).map(RequestId) else { return };
+    fn out_of_time(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let Some(live) = self.requests.get(&id) else { return };
         if live.answered || live.started {
             return;
         }
         let cut = self.cut(live);
         if now < cut && !live.slow {
-            actions.push(Action::SetAlarm { at: cut, alarm: AlarmId(name) });
+            actions.push(Action::SetAlarm { at: cut, alarm: AlarmId(u64::from(id.0)) });
             // What hangs is no sign of queues: a fallen opening would refuse what the backends have room for.
-            let attempt = live.out.and_then(|to| self.backends.get(&to)).map(|b| (b, b.out.get(&id)));
+            let backend = live.out.first().and_then(|(_, to)| self.backends.get(to));
+            let attempt = backend.map(|b| (b, b.out.get(&id)));
             let hangs = matches!(attempt, Some((b, Some(flight))) if self.silent(now, b, flight, None) > 0.0);
             if !hangs {
                 self.feel_answer(now, 1.0);
@@ -853,10 +940,11 @@
     fn abandon(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(live) = self.requests.get_mut(&id) else { return };
         live.answered = true;
-        if live.out.is_none() {
+        if live.out.is_empty() {
             self.requests.remove(&id);
         } else if self.set.cancel && !live.started {
-            actions.push(Action::CallOff { request: id, attempt: live.sends - 1 });
+            let off = live.out.iter().map(|(attempt, _)| Action::CallOff { request: id, attempt: *attempt });
+            actions.extend(off);
         }
     }
 
