Size, share and pace links from demand, and keep to a stretch of backends through changes

Need: a request that found no idle link dialled, always, alone and for itself. A burst at one backend was a burst of dials, a dial whose request had left was thrown away, one that waited did not see a link come free beside it, and nothing was learnt from a table that is full: a refusal counted as an unreachable backend.

In the module a gateway keeps the backends that it has while they lie near its stretch.

Tests of each case and a property test over the sums of links and waits.

--- a/src/bin/maplefall-drill/main.rs
+++ b/src/bin/maplefall-drill/main.rs
@@ -198,6 +198,8 @@
         Action::SetAlarm { at, alarm } => reply.set_alarm(door, at, alarm.0),
         Action::Probe(backend) => reply.probe(door, backend.0),
         Action::CloseIdle(backend) => reply.close_idle(door, backend.0),
+        // The simulator opens connections as they are needed.
+        Action::Warm { .. } => {}
         Action::Subscribe => reply.subscribe(door),
         Action::FetchList => reply.fetch_list(door),
         Action::Log(text) => reply.log(door, &text),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -391,6 +391,13 @@
     Probe(BackendId),
     /// Close idle connections to a backend.
     CloseIdle(BackendId),
+    /// Have a connection to a backend that requests are expected to go to.
+    Warm {
+        /// Which backend.
+        backend: BackendId,
+        /// The time in which the next request is expected there.
+        within: Millis,
+    },
     /// Ask for changes of the list of backends from now on.
     Subscribe,
     /// Ask for the whole list once.
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -13,7 +13,6 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use tokio::time::Instant;
 
 /// Longest body of a request, and of an answer that is taken in without asking for room.
 pub const LONGEST_BODY: usize = 64 * 1024;
@@ -176,19 +175,16 @@
     line: &Line,
 ) -> Ended {
     let mut broken = 0;
-    let Some(dial) = pools.dial_address(backend) else { return Ended::of(Outcome::NotSent) };
     loop {
-        let pooled = pools.take_idle(backend, care);
-        let idle = pooled.as_ref().map(|connection| connection.idle(Instant::now()));
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => match pools.fresh(dial, part.wait(clock.now(), pools.dial_timeout())).await {
+        let mut connection =
+            match pools.take(backend, care, part.wait(clock.now(), pools.dial_timeout())).await {
                 Ok(connection) => connection,
                 Err(NoConnection::Own) => return Ended { broken, ..Ended::of(Outcome::NotSent) },
+                Err(NoConnection::Full) => return Ended { broken, ..Ended::of(Outcome::Full) },
                 // Refused: that says more than what broke before.
                 Err(NoConnection::Theirs) => return Ended::of(Outcome::ConnectFailed),
-            },
-        };
+            };
+        let idle = connection.kept;
         // The wait for a connection may have outlasted the backend's place in the list.
         if !pools.takes_new(backend) {
             return Ended { broken, ..Ended::of(Outcome::NotSent) };
@@ -212,8 +208,12 @@
         let whole = connection.wire.whole();
         // What is answered before it was written whole was answered unseen, and its connection is of no more use.
         if let Some(ended) = answer.filter(|ended| whole || ended.outcome == Outcome::Full) {
+            // A new connection's first request turned away tells of a table that is full.
+            if ended.outcome == Outcome::Full && idle.is_none() {
+                pools.crowded(backend);
+            }
             if whole {
-                pools.put_back(backend, dial, connection);
+                pools.put_back(connection);
             }
             return Ended { broken, ..ended };
         }
@@ -333,10 +333,10 @@
     }
 
     fn pools() -> Pools {
-        let links = Links { dial_timeout: 20_000.0, idle_close: 600_000.0 };
+        let links = Links { dial_timeout: 20_000.0, idle_close: 600_000.0, ..Links::default() };
         let reading =
             Reading { names: Vec::new(), metrics: Vec::new(), max_units: 8.0, room: Room(Arc::default()) };
-        Pools::new(links, 8, reading)
+        Pools::new(links, 8, 1, 1, Clock::new(), reading)
     }
 
     fn order() -> Order {
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -206,8 +206,9 @@
     pub fn new(config: &Config, parked: Parked) -> Result<Rc<Door>, String> {
         let told = &config.told;
         let reading = Reading::new(told, config.limits.memory_mb << 20);
-        let pools = Rc::new(Pools::new(told.links, pool::budget(config.limits.sockets), reading));
-        let clock = Clock::new();
+        let (clock, doors) = (Clock::new(), told.settings.gateways);
+        let room = pool::budget(config.limits.sockets);
+        let pools = Rc::new(Pools::new(told.links, room, doors, config.seed, clock, reading));
         let links = pools.clone();
         let carrier = move |backend,
                             order: Rc<Order>,
@@ -305,6 +306,7 @@
             }
             Action::SetAlarm { at, alarm } => self.set_timer(at, Due::Alarm(alarm)),
             Action::CloseIdle(backend) => self.pools.close_idle(backend),
+            Action::Warm { backend, within } => self.pools.ahead(backend, within),
             Action::Log(text) => eprintln!("{text}"),
             // Changes of the list come unasked, and probes are not permitted.
             Action::Subscribe | Action::FetchList | Action::Probe(_) => {}
--- /dev/null
+++ b/src/net/links.rs
@@ -0,0 +1,874 @@
+//! Which link to a backend a request takes, when one is dialled, and which are kept: the core of the pools.
+//!
+//! Nothing here has a socket or a clock. What happened comes in with its time, what is to be done goes out as
+//! [`Effect`]s; links and those who wait for one are numbers of the driver's. The experiments of `crates/fleet` play the
+//! same file.
+//!
+//! What a backend's table of connections holds is told nowhere, and all front doors share it. So each holds what its own
+//! attempts need by Little's law, with room for chance, and takes a refusal beside links that work for a full table: it
+//! halves what it holds there, and grows slowly.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A time in milliseconds.
+type Millis = f64;
+
+/// A link, as the driver numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// One that waits for a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What bounds the links, by the settings and the limits of the machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Links and dials that there may be at once, to all backends.
+    pub budget: usize,
+    /// A backend closes a link that has been idle this long.
+    pub idle_close: Millis,
+    /// Front doors of the fleet.
+    pub doors: u32,
+    /// Price of a new link for each first try, and of links held, as the settings tell them.
+    pub handshake_price: f64,
+    /// Price of the links open on average, over a hundred for each backend.
+    pub connection_price: f64,
+}
+
+impl Bounds {
+    /// Links that a front door may hold at a backend beyond what its mean need and chance ask for.
+    fn spare(&self) -> f64 {
+        (FLEET_SPARE / f64::from(self.doors.max(1))).max(LEAST_SPARE).floor()
+    }
+}
+
+/// Something for the driver to do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect<B> {
+    /// Dial a backend and tell how it went.
+    Dial(B),
+    /// One that waits has its link.
+    Give(Ticket, LinkId),
+    /// One that waits has none.
+    Fail(Ticket, Why),
+    /// Close a link.
+    Close(LinkId),
+    /// Ask again at this time whether a dial is due.
+    Wake(B, Millis),
+}
+
+/// Why one that waited has no link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// The backend refuses, is silent or cannot be reached.
+    Unreachable,
+    /// It works and takes no further link, or takes it too slowly.
+    Full,
+    /// It is no longer to be sent to, or is another process now.
+    Gone,
+    /// This front door has no descriptor for one.
+    Own,
+}
+
+/// What a request gets at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// A link that was idle for so many milliseconds.
+    Kept(LinkId, u32),
+    /// A place in the line; an effect tells more.
+    Waits,
+    /// This front door has no room for a further link.
+    NoRoom,
+}
+
+/// Part of the backends' idle time for which a link is kept: one closed there costs a request.
+const IDLE_PART: f64 = 0.6;
+/// A link is taken again rather after than before this time since its last answer: what a backend sends behind an
+/// answer has come by then.
+const SETTLED: Millis = 3.0;
+/// Links that the whole fleet may hold at a backend before any need has been seen, and what each front door may hold of
+/// them at the least.
+const FLEET_SPARE: f64 = 64.0;
+const LEAST_SPARE: f64 = 2.0;
+/// Standard deviations of chance by which a front door may pass its mean need.
+const CHANCE: f64 = 3.0;
+/// Time over which the mean need is taken, and while it rises: what waits is news.
+const NEED_MEMORY: Millis = 10_000.0;
+const NEED_RISE: Millis = 1_000.0;
+/// Dials to one backend that one front door has out at once.
+const AT_ONCE: usize = 2;
+/// What a front door holds of a table that is full is halved, no more often than this; as long it dials no more.
+const BACK_OFF: Millis = 250.0;
+/// In this time it grows by one link again: slow against the halving, so that a fleet finds a level.
+const GROW: Millis = 2_000.0;
+
+// ---- How old a kept link may be ---------------------------------------------------------------------
+
+/// Shortest idle age told apart from younger ones; each band of ages is twice as old as the one before.
+const YOUNGEST: Millis = 4.0;
+/// Bands of idle ages: the last begins at about 16 s.
+const BANDS: usize = 13;
+/// What was seen of a band counts half after this.
+const AGES_HALFLIFE: Millis = 4_000.0;
+/// Broken links from which a band of ages is taken to fail, if they are this part of those used.
+const FAILING: f64 = 2.0;
+const FAILING_PART: f64 = 0.2;
+
+#[derive(Clone, Copy, Default)]
+struct Band {
+    used: f64,
+    broken: f64,
+    at: Millis,
+}
+
+impl Band {
+    fn kept(&self, now: Millis) -> f64 {
+        (-(now - self.at).max(0.0) / AGES_HALFLIFE).exp2()
+    }
+}
+
+/// Up to what idle age kept links turn out to be alive. Backends close earlier than they say, and what lies between
+/// forgets links unseen. It learns from every request on a kept link; those that may be repeated go on using old ones,
+/// so a recovery is learnt too. It covers no backend that alone breaks young links, and hurts, by new links that were not
+/// needed, where breaks that have nothing to do with age pass the part.
+#[derive(Default)]
+struct Ages([Band; BANDS]);
+
+impl Ages {
+    fn band(idle: Millis) -> usize {
+        ((idle / YOUNGEST).log2().max(-1.0) as isize + 1).clamp(0, BANDS as isize - 1) as usize
+    }
+
+    /// What became of a request on a link that had been idle so long.
+    fn learn(&mut self, now: Millis, idle: Millis, broke: bool) {
+        let band = &mut self.0[Self::band(idle)];
+        let kept = band.kept(now);
+        band.used = band.used * kept + 1.0;
+        band.broken = band.broken * kept + f64::from(u8::from(broke));
+        band.at = now;
+    }
+
+    /// Whether links of this idle age, and of every lower one, hold.
+    fn hold(&self, now: Millis, idle: Millis) -> bool {
+        let fails =
+            |band: &Band| band.broken * band.kept(now) >= FAILING && band.broken >= FAILING_PART * band.used;
+        !self.0[..=Self::band(idle)].iter().any(fails)
+    }
+}
+
+// ---- Links ------------------------------------------------------------------------------------------
+
+/// The links to one backend.
+#[derive(Default)]
+struct Shelf {
+    /// Those that carry nothing and since when, the most recently used last.
+    idle: Vec<(LinkId, Millis)>,
+    busy: usize,
+    dialling: usize,
+    /// Dials that were begun before the backend changed: what comes of them is of no use.
+    stale: usize,
+    waiting: VecDeque<Ticket>,
+    /// Attempts at a time on average, as of `need_at`.
+    need: f64,
+    need_at: Millis,
+    /// Links that its table seems to have room for, as of `most_at`; unknown until it turned one away.
+    most: Option<f64>,
+    most_at: Millis,
+    /// No dial before this.
+    not_before: Millis,
+    /// When it has last been asked to be woken for that.
+    wakes: Millis,
+    /// Dials ahead of traffic that are due.
+    ahead: Option<Millis>,
+}
+
+impl Shelf {
+    fn held(&self) -> usize {
+        self.idle.len() + self.busy + self.dialling
+    }
+
+    /// Brings the mean need up to now; call before what is out or waits changes.
+    fn feel(&mut self, now: Millis) {
+        let present = (self.busy + self.waiting.len()) as f64;
+        let memory = if present > self.need { NEED_RISE } else { NEED_MEMORY };
+        let keep = (-(now - self.need_at).max(0.0) / memory).exp();
+        self.need = self.need * keep + present * (1.0 - keep);
+        self.need_at = now;
+    }
+
+    /// Links that may be held, `spare` of them whatever the need.
+    fn limit(&self, now: Millis, spare: f64) -> usize {
+        let needed = (self.need + CHANCE * self.need.sqrt()).floor() + spare;
+        let room = self.most.map_or(f64::INFINITY, |most| most + (now - self.most_at).max(0.0) / GROW);
+        needed.min(room.floor()).max(1.0) as usize
+    }
+}
+
+/// The links to all backends, which `B` names.
+pub struct Links<B> {
+    bounds: Bounds,
+    shelves: BTreeMap<B, Shelf>,
+    ages: Ages,
+    rng: Pcg32,
+    /// First tries a second on average, as of `rate_at`.
+    rate: f64,
+    rate_at: Millis,
+    open: usize,
+}
+
+impl<B: Copy + Ord> Links<B> {
+    /// No links yet; `seed` is the only source of chance.
+    pub fn new(bounds: Bounds, seed: u64) -> Links<B> {
+        let (shelves, ages) = (BTreeMap::new(), Ages::default());
+        Links { bounds, shelves, ages, rng: Pcg32::seed_from_u64(seed), rate: 0.0, rate_at: 0.0, open: 0 }
+    }
+
+    /// Links and dials that there are.
+    #[cfg(test)]
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Backends of which something is held.
+    #[cfg(test)]
+    pub fn shelves(&self) -> usize {
+        self.shelves.len()
+    }
+
+    /// A request wants a link to a backend. One that must run `once` gets no link of an age that is in doubt.
+    pub fn take(
+        &mut self,
+        now: Millis,
+        to: B,
+        who: Ticket,
+        once: bool,
+        effects: &mut Vec<Effect<B>>,
+    ) -> Taken {
+        self.feel_rate(now);
+        let longest = self.longest_idle();
+        let shelf = self.shelves.entry(to).or_default();
+        shelf.feel(now);
+        let settled = shelf.idle.iter().rposition(|(_, since)| now - since >= SETTLED);
+        if let Some(place) = settled.or(shelf.idle.len().checked_sub(1)) {
+            let (link, since) = shelf.idle[place];
+            let idle = now - since;
+            // A dial costs no more than what is in doubt; an unsafe request would be lost with it.
+            if idle < longest && (!once || self.ages.hold(now, idle)) {
+                shelf.idle.remove(place);
+                shelf.busy += 1;
+                return Taken::Kept(link, idle.max(0.0) as u32);
+            }
+        }
+        // Nobody is kept waiting for a shortage of this front door's own: it is known at once.
+        if self.open >= self.bounds.budget && !self.close_oldest(effects) {
+            return Taken::NoRoom;
+        }
+        self.shelves.entry(to).or_default().waiting.push_back(who);
+        self.dial(now, to, effects);
+        Taken::Waits
+    }
+
+    /// Begins the dials that are due: no more than wait, few at a time, and none beyond what may be held.
+    fn dial(&mut self, now: Millis, to: B, effects: &mut Vec<Effect<B>>) {
+        let spare = self.bounds.spare();
+        let Some(shelf) = self.shelves.get_mut(&to) else { return };
+        while shelf.dialling < shelf.waiting.len().min(AT_ONCE) && self.open < self.bounds.budget {
+            // What is idle and was not good enough is no reason to go without.
+            let held = shelf.busy + shelf.dialling;
+            if held > 0 && held >= shelf.limit(now, spare) {
+                return;
+            }
+            if held > 0 && now < shelf.not_before {
+                if shelf.wakes < shelf.not_before {
+                    shelf.wakes = shelf.not_before;
+                    effects.push(Effect::Wake(to, shelf.not_before));
+                }
+                return;
+            }
+            shelf.dialling += 1;
+            self.open += 1;
+            effects.push(Effect::Dial(to));
+        }
+    }
+
+    /// A time that was asked for has come.
+    pub fn wake(&mut self, now: Millis, to: B, effects: &mut Vec<Effect<B>>) {
+        let Some(shelf) = self.shelves.get_mut(&to) else { return };
+        let ahead = shelf.ahead.take_if(|at| *at <= now).is_some();
+        if ahead && shelf.held() == 0 && self.open < self.bounds.budget {
+            shelf.dialling += 1;
+            self.open += 1;
+            effects.push(Effect::Dial(to));
+        }
+        self.dial(now, to, effects);
+    }
+
+    /// Demand will use a backend to which there is no link: one is dialled ahead, at a time of its own within `spread`.
+    /// Whatever the fleet learns at one instant, its dials come one by one; a request that is sooner dials at once.
+    pub fn ahead(&mut self, now: Millis, to: B, spread: Millis, effects: &mut Vec<Effect<B>>) {
+        let part = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
+        let shelf = self.shelves.entry(to).or_default();
+        if shelf.held() == 0 && shelf.ahead.is_none() {
+            let at = now + spread * part;
+            shelf.ahead = Some(at);
+            effects.push(Effect::Wake(to, at));
+        }
+    }
+
+    /// A dial came up as this link: for whoever waits longest, or for later.
+    pub fn dialled(&mut self, now: Millis, to: B, link: LinkId, effects: &mut Vec<Effect<B>>) {
+        let shelf = self.shelves.entry(to).or_default();
+        if shelf.stale > 0 {
+            shelf.stale -= 1;
+            self.open = self.open.saturating_sub(1);
+            effects.push(Effect::Close(link));
+            return;
+        }
+        shelf.feel(now);
+        shelf.dialling = shelf.dialling.saturating_sub(1);
+        shelf.busy += 1;
+        self.freed(now, to, link, effects);
+        self.dial(now, to, effects);
+    }
+
+    /// A dial did not come up; it was this front door's own doing (`own`) or the backend's.
+    pub fn refused(&mut self, now: Millis, to: B, own: bool, effects: &mut Vec<Effect<B>>) {
+        self.open = self.open.saturating_sub(1);
+        let Some(shelf) = self.shelves.get_mut(&to) else { return };
+        if shelf.stale > 0 {
+            shelf.stale -= 1;
+            return;
+        }
+        shelf.feel(now);
+        shelf.dialling = shelf.dialling.saturating_sub(1);
+        let live = shelf.busy + shelf.idle.len() > 0;
+        if live && !own {
+            Self::crowded_shelf(shelf, now, self.bounds.spare());
+        }
+        if live {
+            // Others wait on for a link that comes free; the one whose dial this was may go elsewhere.
+            if let Some(who) = shelf.waiting.pop_front() {
+                effects.push(Effect::Fail(who, if own { Why::Own } else { Why::Full }));
+            }
+        } else {
+            // Whoever else waits is better off elsewhere, at once; a dial that still comes up is kept.
+            let why = if own { Why::Own } else { Why::Unreachable };
+            effects.extend(shelf.waiting.drain(..).map(|who| Effect::Fail(who, why)));
+        }
+        self.dial(now, to, effects);
+    }
+
+    /// A backend turned a new link's first request away: its table is full.
+    pub fn crowded(&mut self, now: Millis, to: B) {
+        if let Some(shelf) = self.shelves.get_mut(&to) {
+            Self::crowded_shelf(shelf, now, self.bounds.spare());
+        }
+    }
+
+    fn crowded_shelf(shelf: &mut Shelf, now: Millis, spare: f64) {
+        // Several refusals of one moment are one piece of news.
+        if now >= shelf.not_before {
+            let held = (shelf.held() as f64).min(shelf.limit(now, spare) as f64);
+            (shelf.most, shelf.most_at) = (Some((held / 2.0).max(1.0)), now);
+            shelf.not_before = now + BACK_OFF;
+        }
+    }
+
+    /// A link has carried its request and is whole: for whoever waits longest, or for later.
+    pub fn freed(&mut self, now: Millis, to: B, link: LinkId, effects: &mut Vec<Effect<B>>) {
+        let Some(shelf) = self.shelves.get_mut(&to) else {
+            self.open = self.open.saturating_sub(1);
+            effects.push(Effect::Close(link));
+            return;
+        };
+        shelf.feel(now);
+        if let Some(who) = shelf.waiting.pop_front() {
+            effects.push(Effect::Give(who, link));
+            return;
+        }
+        shelf.busy = shelf.busy.saturating_sub(1);
+        shelf.idle.push((link, now));
+    }
+
+    /// A link that carried something is gone.
+    pub fn lost(&mut self, now: Millis, to: B, effects: &mut Vec<Effect<B>>) {
+        self.open = self.open.saturating_sub(1);
+        if let Some(shelf) = self.shelves.get_mut(&to) {
+            shelf.feel(now);
+            shelf.busy = shelf.busy.saturating_sub(1);
+        }
+        self.dial(now, to, effects);
+    }
+
+    /// One that waited does so no longer. Its dial goes on: what comes of it is kept.
+    pub fn left(&mut self, now: Millis, to: B, who: Ticket) {
+        if let Some(shelf) = self.shelves.get_mut(&to) {
+            shelf.feel(now);
+            shelf.waiting.retain(|waiting| *waiting != who);
+        }
+    }
+
+    /// What is idle to a backend leads nowhere: it drains, fell silent, or another process has its address. `anew` if
+    /// dials under way lead nowhere either.
+    pub fn close(&mut self, to: B, anew: bool, effects: &mut Vec<Effect<B>>) {
+        let Some(shelf) = self.shelves.get_mut(&to) else { return };
+        self.open = self.open.saturating_sub(shelf.idle.len());
+        effects.extend(shelf.idle.drain(..).map(|(link, _)| Effect::Close(link)));
+        if anew {
+            shelf.stale += std::mem::take(&mut shelf.dialling);
+            (shelf.most, shelf.not_before, shelf.wakes, shelf.ahead) = (None, 0.0, 0.0, None);
+            effects.extend(shelf.waiting.drain(..).map(|who| Effect::Fail(who, Why::Gone)));
+        }
+    }
+
+    /// A backend that is gone. Links that carry something end with what they carry.
+    pub fn forget(&mut self, to: B, effects: &mut Vec<Effect<B>>) {
+        self.close(to, true, effects);
+        let Some(shelf) = self.shelves.remove(&to) else { return };
+        // What is still out comes back to nobody; the driver closes it and tells.
+        if shelf.stale + shelf.busy > 0 {
+            let (stale, busy) = (shelf.stale, shelf.busy);
+            self.shelves.insert(to, Shelf { stale, busy, ..Shelf::default() });
+        }
+    }
+
+    /// Whether a dial to a backend is under way.
+    pub fn dialling(&self, to: B) -> bool {
+        self.shelves.get(&to).is_some_and(|shelf| shelf.dialling > 0)
+    }
+
+    /// Makes idle links older.
+    #[cfg(test)]
+    pub fn age(&mut self, by: Millis) {
+        for (_, since) in self.shelves.values_mut().flat_map(|shelf| &mut shelf.idle) {
+            *since -= by;
+        }
+    }
+
+    /// Learns whether a link that had been idle so long has borne another request.
+    pub fn learn(&mut self, now: Millis, idle: Millis, broke: bool) {
+        self.ages.learn(now, idle, broke);
+    }
+
+    /// Closes what has been idle for too long or is more than is needed, and forgets backends of which nothing is held.
+    pub fn tidy(&mut self, now: Millis, effects: &mut Vec<Effect<B>>) {
+        let (longest, spare) = (self.longest_idle(), self.bounds.spare());
+        for shelf in self.shelves.values_mut() {
+            shelf.feel(now);
+            let limit = shelf.limit(now, spare);
+            let over = shelf.held().saturating_sub(limit);
+            // The least recently used go first.
+            let old = shelf.idle.iter().take_while(|(_, since)| now - since >= longest).count();
+            let gone = old.max(over).min(shelf.idle.len());
+            self.open = self.open.saturating_sub(gone);
+            effects.extend(shelf.idle.drain(..gone).map(|(link, _)| Effect::Close(link)));
+        }
+        self.shelves.retain(|_, shelf| {
+            let known = shelf.most.is_some_and(|most| most + (now - shelf.most_at) / GROW < 64.0);
+            shelf.held() + shelf.stale + shelf.waiting.len() > 0
+                || shelf.ahead.is_some()
+                || known
+                || shelf.need > 0.01
+        });
+    }
+
+    /// For how long a link is kept that nobody uses: well short of the backends' own limit, and no longer than what it
+    /// costs to keep is under the price of a new one. The settings price both over the whole fleet: a handshake for each
+    /// first try, and the links open on average over a hundred for each backend.
+    fn longest_idle(&self) -> Millis {
+        let longest = IDLE_PART * self.bounds.idle_close;
+        let fleet = self.rate * f64::from(self.bounds.doors.max(1));
+        let (handshake, keeping) = (self.bounds.handshake_price, self.bounds.connection_price);
+        if keeping > 0.0 && fleet > 0.0 {
+            let backends = self.shelves.len().max(1) as f64;
+            longest.min(1000.0 * handshake.max(0.0) * 100.0 * backends / (keeping * fleet))
+        } else {
+            longest
+        }
+    }
+
+    fn feel_rate(&mut self, now: Millis) {
+        let keep = (-(now - self.rate_at).max(0.0) / NEED_MEMORY).exp();
+        self.rate = self.rate * keep + 1000.0 / NEED_MEMORY;
+        self.rate_at = now;
+    }
+
+    /// Closes the link that has been idle longest, wherever it leads; tells whether there was one.
+    fn close_oldest(&mut self, effects: &mut Vec<Effect<B>>) -> bool {
+        let shelves = self.shelves.values_mut().filter(|shelf| !shelf.idle.is_empty());
+        let oldest = shelves.min_by(|a, b| a.idle[0].1.total_cmp(&b.idle[0].1));
+        let Some(shelf) = oldest else { return false };
+        let (link, _) = shelf.idle.remove(0);
+        self.open = self.open.saturating_sub(1);
+        effects.push(Effect::Close(link));
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::{any, proptest, ProptestConfig as Config};
+    use proptest::test_runner::RngSeed;
+    use std::collections::BTreeSet;
+
+    fn bounds() -> Bounds {
+        Bounds { budget: 12, idle_close: 30_000.0, doors: 300, handshake_price: 0.02, connection_price: 0.0 }
+    }
+
+    fn links() -> Links<u32> {
+        Links::new(bounds(), 7)
+    }
+
+    /// A driver that only notes: what is open, dialling and waiting by what it was told.
+    #[derive(Default)]
+    struct Driver {
+        effects: Vec<Effect<u32>>,
+        dials: Vec<u32>,
+        given: Vec<(Ticket, LinkId)>,
+        failed: Vec<(Ticket, Why)>,
+        closed: Vec<LinkId>,
+        wakes: Vec<(u32, Millis)>,
+    }
+
+    impl Driver {
+        fn settle(&mut self) {
+            for effect in self.effects.drain(..) {
+                match effect {
+                    Effect::Dial(to) => self.dials.push(to),
+                    Effect::Give(who, link) => self.given.push((who, link)),
+                    Effect::Fail(who, why) => self.failed.push((who, why)),
+                    Effect::Close(link) => self.closed.push(link),
+                    Effect::Wake(to, at) => self.wakes.push((to, at)),
+                }
+            }
+        }
+    }
+
+    /// Guards what is learnt of idle ages: failures of old links speak against those and older ones, not against younger;
+    /// a break now and then speaks against none; and what recovers is trusted again.
+    #[test]
+    fn ages_at_which_links_break_are_told_from_those_that_hold() {
+        let ([young, old, older], mut ages, start) = ([20.0, 200.0, 2000.0], Ages::default(), 1e6);
+        for i in 0..20 {
+            ages.learn(start, young, i % 10 == 0);
+            assert!(ages.hold(start, older), "a tenth broken");
+        }
+        for _ in 0..3 {
+            ages.learn(start, old, true);
+            ages.learn(start, old, false);
+        }
+        assert_eq!([young, old, older].map(|age| ages.hold(start, age)), [true, false, false]);
+        let later = start + 8000.0;
+        for _ in 0..10 {
+            ages.learn(later, old, false);
+        }
+        assert_eq!([young, old, older].map(|age| ages.hold(later, age)), [true; 3]);
+        // Silence too lets them be tried again.
+        assert!(ages.hold(start + 60_000.0, older));
+    }
+
+    /// Guards reuse: the most recently used link is taken first, and one whose answer is just over only where there is no
+    /// other; what is idle beyond the bound is closed, not taken.
+    #[test]
+    fn the_most_recently_used_link_is_taken_first() {
+        let (mut links, mut driver) = (Links::new(Bounds { doors: 3, ..bounds() }, 7), Driver::default());
+        for link in 1..=3u64 {
+            assert_eq!(links.take(0.0, 1, Ticket(link), false, &mut driver.effects), Taken::Waits);
+        }
+        for link in 1..=3u64 {
+            links.dialled(1.0, 1, LinkId(link), &mut driver.effects);
+        }
+        for (link, at) in [(1, 100.0), (2, 200.0), (3, 300.0)] {
+            links.freed(at, 1, LinkId(link), &mut driver.effects);
+        }
+        driver.settle();
+        assert_eq!((driver.dials.len(), driver.given.len()), (3, 3));
+        assert_eq!(links.take(301.0, 1, Ticket(4), false, &mut driver.effects), Taken::Kept(LinkId(2), 101));
+        assert_eq!(links.take(302.0, 1, Ticket(5), false, &mut driver.effects), Taken::Kept(LinkId(1), 202));
+        assert_eq!(links.take(302.5, 1, Ticket(6), false, &mut driver.effects), Taken::Kept(LinkId(3), 2));
+        links.freed(400.0, 1, LinkId(3), &mut driver.effects);
+        assert_eq!(links.take(18_500.0, 1, Ticket(7), false, &mut driver.effects), Taken::Waits);
+        links.tidy(18_500.0, &mut driver.effects);
+        driver.settle();
+        assert_eq!(driver.closed, [LinkId(3)]);
+    }
+
+    /// Guards the dial that is under way: a request that waits takes a link that comes free first, and what the dial brings
+    /// is kept for the next one; one that leaves loses nothing of it either.
+    #[test]
+    fn who_waits_takes_what_is_sooner_and_no_dial_is_wasted() {
+        let (mut links, mut driver) = (links(), Driver::default());
+        links.take(0.0, 1, Ticket(1), false, &mut driver.effects);
+        links.dialled(1.0, 1, LinkId(1), &mut driver.effects);
+        links.take(2.0, 1, Ticket(2), false, &mut driver.effects);
+        links.freed(3.0, 1, LinkId(1), &mut driver.effects);
+        driver.settle();
+        assert_eq!(
+            (driver.dials.len(), &driver.given[..]),
+            (2, &[(Ticket(1), LinkId(1)), (Ticket(2), LinkId(1))][..])
+        );
+        links.dialled(4.0, 1, LinkId(2), &mut driver.effects);
+        assert_eq!(links.take(10.0, 1, Ticket(3), false, &mut driver.effects), Taken::Kept(LinkId(2), 6));
+        links.take(11.0, 1, Ticket(4), false, &mut driver.effects);
+        links.left(12.0, 1, Ticket(4));
+        links.dialled(13.0, 1, LinkId(3), &mut driver.effects);
+        assert_eq!(links.take(20.0, 1, Ticket(5), false, &mut driver.effects), Taken::Kept(LinkId(3), 7));
+    }
+
+    /// Guards a backend against a burst of dials: few are under way at a time, and no more are held than the mean need and
+    /// chance ask for; those beyond wait for what comes free.
+    #[test]
+    fn a_burst_dials_few_at_a_time_and_no_more_than_the_need() {
+        let (mut links, mut driver) = (Links::new(Bounds { budget: 100, ..bounds() }, 7), Driver::default());
+        for who in 0..40 {
+            assert_eq!(links.take(0.0, 1, Ticket(who), false, &mut driver.effects), Taken::Waits);
+        }
+        driver.settle();
+        assert_eq!(driver.dials.len(), AT_ONCE);
+        let mut up = 0;
+        while up < driver.dials.len() {
+            links.dialled(1.0, 1, LinkId(up as u64), &mut driver.effects);
+            up += 1;
+            driver.settle();
+        }
+        assert_eq!((driver.dials.len(), driver.given.len()), (2, 2), "no need has been seen yet");
+        // It lasts: the need is learnt, and more is held.
+        for now in 1..200 {
+            let link = driver.given.last().expect("a link").1;
+            links.freed(f64::from(now) * 100.0, 1, link, &mut driver.effects);
+            links.take(
+                f64::from(now) * 100.0,
+                1,
+                Ticket(1000 + u64::from(now as u32)),
+                false,
+                &mut driver.effects,
+            );
+            driver.settle();
+            while up < driver.dials.len() {
+                links.dialled(f64::from(now) * 100.0, 1, LinkId(up as u64), &mut driver.effects);
+                up += 1;
+                driver.settle();
+            }
+        }
+        assert!((20..=60).contains(&driver.dials.len()), "{} dials for a need of forty", driver.dials.len());
+    }
+
+    /// Guards a table that all front doors share: a dial refused beside links that work halves what is held there, the
+    /// next comes after a while, and the bound grows by one link in a while.
+    #[test]
+    fn a_full_table_halves_what_is_held_and_growth_is_slow() {
+        let (mut links, mut driver) = (links(), Driver::default());
+        for who in 0..8 {
+            links.take(0.0, 1, Ticket(who), false, &mut driver.effects);
+            links.shelves.get_mut(&1).expect("a shelf").need = 8.0;
+        }
+        for link in 0..6 {
+            links.dialled(1.0, 1, LinkId(link), &mut driver.effects);
+        }
+        driver.settle();
+        links.refused(2.0, 1, false, &mut driver.effects);
+        links.refused(2.0, 1, false, &mut driver.effects);
+        driver.settle();
+        assert_eq!(driver.failed, [(Ticket(6), Why::Full), (Ticket(7), Why::Full)]);
+        let shelf = &links.shelves[&1];
+        assert_eq!([2.0, 2.0 + GROW, 2.0 + 4.0 * GROW].map(|at| shelf.limit(at, 2.0)), [3, 4, 7]);
+        assert_eq!(links.take(3.0, 1, Ticket(20), false, &mut driver.effects), Taken::Waits);
+        assert_eq!(driver.effects, [], "a dial to a full table");
+    }
+
+    /// Guards the classes of refusal: nothing there fails all that wait; a shortage of this front door's own is told as that.
+    #[test]
+    fn a_dial_refused_where_nothing_works_fails_all_that_wait() {
+        for (own, why) in [(false, Why::Unreachable), (true, Why::Own)] {
+            let (mut links, mut driver) = (links(), Driver::default());
+            for who in 0..3 {
+                links.take(0.0, 1, Ticket(who), false, &mut driver.effects);
+            }
+            links.refused(1.0, 1, own, &mut driver.effects);
+            driver.settle();
+            assert_eq!(driver.dials, [1, 1], "dialled again");
+            links.refused(2.0, 1, own, &mut driver.effects);
+            assert_eq!(driver.failed, [0, 1, 2].map(|who| (Ticket(who), why)));
+            assert_eq!(links.open(), 0);
+        }
+    }
+
+    /// Guards against links to what a backend was before: those idle and those under way when its address changes or it
+    /// drains are closed, and who waits is told at once.
+    #[test]
+    fn what_was_dialled_before_a_change_is_not_used_after_it() {
+        let (mut links, mut driver) = (links(), Driver::default());
+        links.take(0.0, 1, Ticket(1), false, &mut driver.effects);
+        links.close(1, true, &mut driver.effects);
+        links.take(1.0, 1, Ticket(2), false, &mut driver.effects);
+        links.dialled(2.0, 1, LinkId(1), &mut driver.effects);
+        links.dialled(3.0, 1, LinkId(2), &mut driver.effects);
+        driver.settle();
+        assert_eq!(driver.failed, [(Ticket(1), Why::Gone)]);
+        assert_eq!((driver.closed, driver.given), (vec![LinkId(1)], vec![(Ticket(2), LinkId(2))]));
+    }
+
+    /// Guards unsafe requests: none goes out on a link of an age at which others have broken of late.
+    #[test]
+    fn what_must_run_once_takes_no_link_of_an_age_in_doubt() {
+        let (mut links, mut driver) = (links(), Driver::default());
+        for _ in 0..4 {
+            links.learn(5000.0, 5000.0, true);
+        }
+        links.take(0.0, 1, Ticket(1), true, &mut driver.effects);
+        links.dialled(0.0, 1, LinkId(1), &mut driver.effects);
+        links.freed(0.0, 1, LinkId(1), &mut driver.effects);
+        assert_eq!(links.take(6000.0, 1, Ticket(2), true, &mut driver.effects), Taken::Waits);
+        assert_eq!(
+            links.take(6000.0, 1, Ticket(3), false, &mut driver.effects),
+            Taken::Kept(LinkId(1), 6000)
+        );
+    }
+
+    /// Guards a backend that a fleet hears of at one instant: the dials ahead of traffic are spread over the time they
+    /// are given, each front door at its own, and a link that came by other ways needs none.
+    #[test]
+    fn dials_ahead_of_traffic_are_spread() {
+        let mut tenths = [0; 10];
+        for door in 0..300 {
+            let (mut links, mut driver) = (Links::<u32>::new(bounds(), door), Driver::default());
+            links.ahead(0.0, 1, 1000.0, &mut driver.effects);
+            links.ahead(0.0, 1, 1000.0, &mut driver.effects);
+            driver.settle();
+            let [(1, at)] = driver.wakes[..] else { panic!("{:?}", driver.wakes) };
+            tenths[(at / 100.0) as usize] += 1;
+            if door % 2 == 0 {
+                links.take(at / 2.0, 1, Ticket(1), false, &mut driver.effects);
+                links.dialled(at / 2.0, 1, LinkId(1), &mut driver.effects);
+            }
+            links.wake(at, 1, &mut driver.effects);
+            driver.settle();
+            assert_eq!(driver.dials, [1]);
+        }
+        assert!(tenths.iter().all(|count| (10..=60).contains(count)), "{tenths:?}");
+    }
+
+    /// Guards prices: where open links cost and handshakes are cheap, none is kept for longer than it is worth.
+    #[test]
+    fn a_link_is_kept_no_longer_than_it_is_worth() {
+        let mut links: Links<u32> = Links::new(Bounds { connection_price: 1.0, ..bounds() }, 7);
+        assert_eq!(links.longest_idle(), 18_000.0);
+        for who in 0..1000u32 {
+            links.take(f64::from(who) * 50.0, who % 10, Ticket(u64::from(who)), false, &mut Vec::new());
+        }
+        // 20 a second at 300 front doors, ten backends: 0.02 * 100 * 10 / 6000 s.
+        assert!((links.longest_idle() - 3.3).abs() < 0.3, "{}", links.longest_idle());
+        links.bounds.connection_price = 0.0;
+        assert_eq!(links.longest_idle(), 18_000.0);
+    }
+
+    /// What a driver knows of a link or a dial, to check the core's sums against.
+    fn churn(seed: u64, steps: u32) {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut pick = move |n: u32| rng.next_u32() % n;
+        let (mut links, mut driver, mut now) = (links(), Driver::default(), 0.0);
+        let (mut number, mut dialling) = (0u64, Vec::<u32>::new());
+        let (mut busy, mut idle) = (Vec::<(u32, LinkId)>::new(), BTreeSet::<LinkId>::new());
+        let mut waiting = Vec::<(u32, Ticket)>::new();
+        for step in 0..steps {
+            now += f64::from(pick(200));
+            number += 1;
+            // Backends come and go: an id is of use for some hundred steps.
+            let to = step / 300 * 3 + pick(3);
+            match pick(10) {
+                0..=3 => match links.take(now, to, Ticket(number), pick(2) == 0, &mut driver.effects) {
+                    Taken::Kept(link, _) => {
+                        assert!(idle.remove(&link), "a link that was not idle");
+                        busy.push((to, link));
+                    }
+                    Taken::Waits => waiting.push((to, Ticket(number))),
+                    Taken::NoRoom => assert!(links.open() >= bounds().budget),
+                },
+                4..=5 if !dialling.is_empty() => {
+                    let at = pick(dialling.len() as u32) as usize;
+                    let to = dialling.swap_remove(at);
+                    if pick(3) > 0 {
+                        idle.insert(LinkId(number));
+                        links.dialled(now, to, LinkId(number), &mut driver.effects);
+                    } else {
+                        links.refused(now, to, pick(4) == 0, &mut driver.effects);
+                    }
+                }
+                6..=7 if !busy.is_empty() => {
+                    let (to, link) = busy.swap_remove(pick(busy.len() as u32) as usize);
+                    if pick(4) > 0 {
+                        idle.insert(link);
+                        links.freed(now, to, link, &mut driver.effects);
+                    } else {
+                        links.lost(now, to, &mut driver.effects);
+                    }
+                }
+                8 if !waiting.is_empty() => {
+                    let (to, who) = waiting.swap_remove(pick(waiting.len() as u32) as usize);
+                    links.left(now, to, who);
+                }
+                _ => match pick(6) {
+                    0 => links.close(to, pick(2) == 0, &mut driver.effects),
+                    1 => links.forget(to, &mut driver.effects),
+                    2 => links.ahead(now, to, 500.0, &mut driver.effects),
+                    3 => links.crowded(now, to),
+                    _ => links.tidy(now, &mut driver.effects),
+                },
+            }
+            let due: Vec<_> = driver.wakes.iter().filter(|(_, at)| *at <= now).copied().collect();
+            driver.wakes.retain(|(_, at)| *at > now);
+            due.into_iter().for_each(|(to, _)| links.wake(now, to, &mut driver.effects));
+            driver.settle();
+            dialling.append(&mut driver.dials);
+            for (who, link) in driver.given.drain(..) {
+                let place = waiting.iter().position(|(_, waits)| *waits == who).expect("one that waits");
+                let (to, _) = waiting.swap_remove(place);
+                assert!(idle.remove(&link), "a link given twice");
+                busy.push((to, link));
+            }
+            for (who, _) in driver.failed.drain(..) {
+                let place = waiting.iter().position(|(_, waits)| *waits == who).expect("one that waits");
+                waiting.swap_remove(place);
+            }
+            for link in driver.closed.drain(..) {
+                assert!(idle.remove(&link), "a link closed that carries something or is gone");
+            }
+            assert_eq!(links.open(), dialling.len() + busy.len() + idle.len(), "step {step}");
+            assert!(links.open() <= bounds().budget, "over the budget of descriptors");
+            for (to, who) in &waiting {
+                let helped = dialling.contains(to)
+                    || busy.iter().any(|(at, _)| at == to)
+                    || driver.wakes.iter().any(|(at, _)| at == to);
+                let room = links.open() < bounds().budget;
+                assert!(helped || !room, "{who:?} waits for nothing");
+            }
+            assert!(links.shelves() <= 64, "{} shelves", links.shelves());
+        }
+    }
+
+    proptest! {
+        #![proptest_config(Config {
+            cases: 64,
+            rng_seed: RngSeed::Fixed(1),
+            failure_persistence: None,
+            ..Config::default()
+        })]
+
+        /// Guards the sums: whatever happens, in whatever order, each link and each wait is accounted for once, the budget of
+        /// descriptors holds, nobody waits for what cannot come, and backends that are gone leave nothing behind.
+        #[test]
+        fn every_link_and_every_wait_is_accounted_for(seed in any::<u64>()) {
+            churn(seed, 600);
+        }
+    }
+
+    /// Guards memory over an hour and more of simulated churn: ten steps a second, backends replaced every 30 s.
+    #[test]
+    fn an_hour_of_churn_leaves_nothing_behind() {
+        churn(1, 36_000);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod door;
 mod handover;
+mod links;
 mod pool;
 mod request;
 
--- a/src/net/schedules.rs
+++ b/src/net/schedules.rs
@@ -131,7 +131,7 @@
             Ended::of(fate.outcome)
         }) as Pin<Box<dyn Future<Output = Ended>>>
     };
-    let pools = Rc::new(Pools::new(links, 8, reading));
+    let pools = Rc::new(Pools::new(links, 8, 1, seed, clock, reading));
     let door = Door::with(&config, Parked::new(), clock, pools, Box::new(carrier)).expect("a front door");
     let host = |i: u32| Member {
         host: format!("s-{i}"),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,8 @@
 const CIRCLE_LEAST: f64 = 12.0;
 /// Gateways that meet each backend at least: a few gateways meet them all.
 const CIRCLE_GATEWAYS: f64 = 4.0;
+/// Part of the stretch by which a backend that a gateway keeps to may lie beside it.
+const CIRCLE_SLACK: f64 = 0.25;
 /// Own load at each backend up to which it tells nothing of how busy that one is, and turns decide instead.
 const SPARSE_LOAD: f64 = 0.2;
 /// A crossing between zones is worth this many times its price of the aim in waiting.
@@ -254,6 +256,9 @@
     quick: BTreeMap<ClassId, Millis>,
     /// When a planned stop has all answered, once there is one.
     stop: Option<Millis>,
+    /// The backends that it keeps to, and those that are to get a connection for it.
+    kept: Vec<BackendId>,
+    warm: Vec<Action>,
 }
 
 impl Gateway {
@@ -284,6 +289,8 @@
             demand: Cewma::default(),
             quick: BTreeMap::new(),
             stop: None,
+            kept: Vec::new(),
+            warm: Vec::new(),
         }
     }
 
@@ -309,6 +316,7 @@
             // No probes are sent: load is judged by this gateway's own attempts.
             Event::Probed { .. } => {}
         }
+        actions.append(&mut self.warm);
     }
 
     /// How many customers the gateway holds an entry of.
@@ -517,6 +525,7 @@
     /// The backend with the least expected time, and the wait expected there.
     fn choose(&mut self, now: Millis, live: &Live, reach: Reach) -> Option<(BackendId, Millis)> {
         let circle = self.circle(now);
+        self.keep_to(now, &circle);
         let best = match reach {
             Reach::Nowhere => None,
             Reach::Anywhere => self.least_cost(now, live, &circle, |_| true),
@@ -539,22 +548,41 @@
     /// closed as idle, and so few answers from each that choice goes by luck. A gateway keeps to a
     /// stretch of the backends in the order of their ids, which is the same everywhere, beginning at its
     /// own place; so each backend is met by about as many. What is cold or distrusted counts less, and
-    /// the stretch goes on for it.
+    /// the stretch goes on for it. Each change of the list moves all places after it: those that the gateway
+    /// has come first as long as they lie near the stretch, or it would open connections all anew.
     fn circle(&self, now: Millis) -> Vec<BackendId> {
         let ready: Vec<&Backend> = self.ready().collect();
-        let gateways = f64::from(self.set.gateways.max(1));
-        let wanted = (CIRCLE_GATEWAYS * ready.len() as f64 / gateways).max(CIRCLE_LEAST);
+        let (count, gateways) = (ready.len(), f64::from(self.set.gateways.max(1)));
+        let wanted = (CIRCLE_GATEWAYS * count as f64 / gateways).max(CIRCLE_LEAST);
         let place = f64::from(self.set.me % self.set.gateways.max(1)) / gateways;
-        let first = (place * ready.len() as f64) as usize;
+        let slack = ((CIRCLE_SLACK * wanted) as usize).min(count);
+        let first = (place * count as f64) as usize + count - slack;
+        let stretch = ready.iter().cycle().skip(first % count.max(1)).take(count);
+        let near = stretch.clone().take(self.kept.len().max(wanted as usize) + 2 * slack);
+        let kept: Vec<&&Backend> = near.filter(|backend| self.kept.contains(&backend.entry.id)).collect();
+        let rest = stretch.clone().skip(slack).chain(stretch.take(slack));
+        let rest = rest.filter(|backend| !kept.iter().any(|known| known.entry.id == backend.entry.id));
         let mut held = 0.0;
-        let stretch = ready.iter().cycle().skip(first).take(ready.len()).take_while(|backend| {
+        let circle = kept.iter().copied().chain(rest).take_while(|backend| {
             let more = held < wanted;
             if self.faded(now, backend.distrust, DISTRUST_AIMS) <= FORGOTTEN {
                 held += self.warmth(now, backend);
             }
             more
         });
-        stretch.map(|backend| backend.entry.id).collect()
+        circle.map(|backend| backend.entry.id).collect()
+    }
+
+    /// Takes up the stretch of backends that the gateway keeps to. One that is new to it gets a connection
+    /// ahead of the request that is expected there, if one is soon.
+    fn keep_to(&mut self, now: Millis, circle: &[BackendId]) {
+        let rate = self.demand.rate(now, self.demand_lambda()) / circle.len().max(1) as f64;
+        let within = 1000.0 / rate.max(1e-6);
+        if within < self.set.warm_up / 4.0 {
+            let fresh = circle.iter().filter(|id| !self.kept.contains(id));
+            self.warm.extend(fresh.map(|backend| Action::Warm { backend: *backend, within }));
+        }
+        self.kept = circle.to_vec();
     }
 
     /// Of these backends, the one with the least expected time.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -57,11 +57,15 @@
     pub dial_timeout: Millis,
     /// A backend closes a connection that has been idle this long.
     pub idle_close: Millis,
+    /// Price of new connections, for each first try.
+    pub handshake_price: f64,
+    /// Price of the connections open on average, over a hundred for each backend.
+    pub connection_price: f64,
 }
 
 impl Default for Links {
     fn default() -> Self {
-        Links { dial_timeout: 250.0, idle_close: 10_000.0 }
+        Links { dial_timeout: 250.0, idle_close: 10_000.0, handshake_price: 0.0, connection_price: 0.0 }
     }
 }
 
@@ -159,6 +163,8 @@
         links: Links {
             dial_timeout: facts.number("policy_limits.dial_timeout", links.dial_timeout)?,
             idle_close: facts.number("policy_limits.idle_close", links.idle_close)?,
+            handshake_price: facts.number("charges.handshake", links.handshake_price)?,
+            connection_price: facts.number("charges.connection", links.connection_price)?,
         },
     })
 }
