Close what is idle to a vanished machine also where its last attempt was called off

Seen: in a new test on loopback two connections to a backend are idle, it falls silent, and a request on one runs out of its time; the other stayed open for 30 s and more, and the next request, an unsafe one, went out on it and was lost. Cause: Gateway::learn asked for CloseIdle on a time-out only. A request's last attempt never times out: the module calls it off at the request's cut, two ticks before. Ruled out: the pools, which close what they are told to.

Change: an attempt that is called off while it is overdue without news counts like a time-out there. Links to backends also fit a third of the memory with full buffers, not only the descriptors.

Measured: the test fails without the change and passes with it.

--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -217,7 +217,7 @@
         let told = &config.told;
         let reading = Reading::new(told, config.limits.memory_mb << 20);
         let (clock, doors) = (Clock::new(), told.settings.gateways);
-        let room = pool::budget(config.limits.sockets);
+        let room = pool::budget(config.limits.sockets, config.limits.memory_mb << 20);
         let pools = Rc::new(Pools::new(told.links, room, doors, config.seed, clock, reading));
         let links = pools.clone();
         let carrier = move |backend,
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -37,15 +37,24 @@
 const WAY_FADES: f64 = 1.05;
 /// Descriptors kept for discovery, listening and the runtime.
 const SPARE_SOCKETS: usize = 24;
+/// Part of the memory that connections to backends may take, with both buffers of each full.
+const MEMORY_PART: usize = 3;
+
 /// Connections to backends that `sockets` descriptors leave room for. Clients hold a third of the descriptors
 /// for requests at most, and a request has one attempt out.
-pub fn budget(sockets: usize) -> usize {
+fn descriptors(sockets: usize) -> usize {
     sockets.saturating_sub(SPARE_SOCKETS) * 2 / 5
 }
 
+/// Connections to backends that there is room for, in descriptors and in `memory` bytes; a few at least.
+pub fn budget(sockets: usize, memory: usize) -> usize {
+    let within = memory / MEMORY_PART / (2 * BUFFER);
+    descriptors(sockets).min(within.max(16))
+}
+
 /// Connections of clients that there is room for, besides: also of such that ask nothing.
 pub fn client_budget(sockets: usize) -> usize {
-    sockets.saturating_sub(SPARE_SOCKETS) - budget(sockets)
+    sockets.saturating_sub(SPARE_SOCKETS) - descriptors(sockets)
 }
 
 // ---- One connection ---------------------------------------------------------------------------------
@@ -659,6 +668,16 @@
 mod tests {
     use super::*;
 
+    /// Guards the machine's limits: what binds is the scarcer of descriptors and memory.
+    #[test]
+    fn links_fit_descriptors_and_memory() {
+        assert_eq!(budget(256, 32 << 20), 92);
+        assert_eq!(budget(1024, 32 << 20), 170);
+        assert_eq!(budget(1024, 192 << 20), 400);
+        assert_eq!(budget(32, 1 << 20), 3);
+        assert_eq!(client_budget(256), 140);
+    }
+
     const HEAD: &[u8] = b"POST /a HTTP/1.1\r\nhost: x\r\n\r\n";
 
     /// Guards the line between "could not connect" and "reset": only the last byte makes a request whole,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1013,13 +1013,15 @@
         let answered = matches!(settled.outcome, Outcome::Ok);
         // Nothing has come from there since this attempt went out: its other connections may be as dead.
         let silent = flight.is_some_and(|flight| flight.at >= backend.last_answer);
-        if settled.outcome == Outcome::Timeout && silent {
-            actions.push(Action::CloseIdle(settled.backend));
-        }
         // Guards against a backend that lets one class hang and answers the others: it is held against it for
         // that class, whether the attempt timed out or was called off, and tells nothing of its pace. It also
         // covers one that hangs for all, and hurts, by a detour, where one answer alone was lost on the way.
         let hung = flight.is_some_and(|flight| self.silent(now, &backend, &flight, None) > 0.0);
+        // The last attempt of a request is called off at its cut, before its own time-out.
+        let given_up = settled.outcome == Outcome::Timeout || (settled.outcome == Outcome::Cancelled && hung);
+        if given_up && silent {
+            actions.push(Action::CloseIdle(settled.backend));
+        }
         let entry = ForClass { answered: now, hanging: Distrust::default() };
         let known = backend.classes.entry(request.class).or_insert(entry);
         match settled.outcome {
--- a/tests/time.rs
+++ b/tests/time.rs
@@ -261,3 +261,39 @@
         assert!(text.contains("handover") && text.lines().count() == 1, "{text}");
     }
 }
+
+/// Guards against a machine that vanished: its connections stay open and silent. The first attempt that finds out ends with
+/// its time, and takes along the idle connections that are as dead; the next request dials anew.
+#[test]
+fn a_silent_loss_takes_the_idle_connections_along() {
+    let scene = Scene::new(1);
+    let mut clients = [scene.program.client(), scene.program.client()];
+    let mut links = Vec::new();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.write(request_of(&format!("id-{i}"), "charge", "wide", LONG));
+        let mut backend = scene.backends[0].accept();
+        backend.read();
+        links.push(backend);
+    }
+    for (client, backend) in clients.iter_mut().zip(&mut links) {
+        backend.answer(200, "", "ok");
+        assert_eq!(client.read().status(), 200);
+    }
+    // From here on the backend says nothing. Both connections end: the one that was used and the idle one.
+    clients[0].write(request_of("id-2", "charge", "wide", "0.7"));
+    assert!(clients[0].read().status() >= 400);
+    let heard: Vec<bool> = links.iter().map(|link| link.hears(PATIENCE)).collect();
+    assert_eq!(heard.iter().filter(|heard| **heard).count(), 1, "{heard:?}");
+    for (mut link, heard) in links.into_iter().zip(heard) {
+        let mut rest = Vec::new();
+        // A reset is an end as well; a read that only ran out of patience is none.
+        let ended = link.reader.read_to_end(&mut rest);
+        let open = ended.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+        assert!(!open, "still open, heard {heard}");
+    }
+    clients[0].write(request_of("id-3", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    assert_eq!(backend.read().header("request-id"), Some("id-3"));
+    backend.answer(200, "", "ok");
+    assert_eq!(clients[0].read().status(), 200);
+}
