Eject backends that answer with errors, for times shared out over the fleet

Cause: distrust fades by half in four aims, and one error moves it to 0.4: a gateway that asks a backend every few seconds forgets each error before the next (rules.rs learn and cost). Not checked: what part the turns among idle backends have in it.

Change: how far a backend's answers were wrong is kept without fading, and two errors with hardly a good answer between them eject it: for an aim for each gateway that meets it (four at least), jittered, doubled with each failed trial. Then it is half-open: one safe request at a time.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -195,6 +195,8 @@
     pub peak_over_capacity: f64,
     /// Attempts that crossed zones.
     pub crossings: u64,
+    /// Times that a front door set a backend aside: one that is well, and one that is ill or cut off.
+    pub set_aside: [u64; 2],
     /// Dials, and those of them that a full table refused.
     pub dials: u64,
     /// Dials refused by a full table.
@@ -534,6 +536,12 @@
                     }
                 }
                 Action::SetAlarm { at, alarm } => self.at(at.max(self.now), What::Alarm(door, alarm)),
+                Action::Log(text) if text.contains("set aside") => {
+                    let word = text.split(' ').nth(1).and_then(|id| id.parse().ok());
+                    let backend = word.and_then(|id| self.by_id.get(&BackendId(id))).copied();
+                    let ill = backend.is_some_and(|backend| self.bad(door, backend));
+                    self.tally.set_aside[usize::from(ill)] += 1;
+                }
                 Action::CloseIdle(backend) => {
                     let backend = self.by_id[&backend];
                     self.pool(door, |pool, _, acts| pool.silent(backend, acts));
@@ -844,7 +852,9 @@
 
     fn bad(&self, door: usize, backend: usize) -> bool {
         let spec = &self.nodes[backend].spec;
-        spec.ill != Ill::No || !self.reaches(self.doors[door].zone, spec.zone)
+        // An error now and then is no illness.
+        let well = matches!(spec.ill, Ill::No) || matches!(spec.ill, Ill::Errors(part) if part < 0.1);
+        !well || !self.reaches(self.doors[door].zone, spec.zone)
     }
 
     fn way(&self, from: u32, to: u32) -> Millis {
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -18,10 +18,16 @@
     match (name.as_str(), seeds) {
         ("chain", Some(seeds)) => table(&CHAIN, seeds, |seed| chain_row(&play(chain(seed)))),
         ("pools", Some(seeds)) => table(&POOLS, seeds, |seed| pools_row(&play(pools(seed)))),
+        ("health", Some(seeds)) => {
+            for doors in [3, 30, 300] {
+                println!("{doors} front doors");
+                table(&HEALTH, seeds, |seed| health_row(doors, seed));
+            }
+        }
         ("roll", Some(seeds)) => table(&POOLS, seeds, |seed| pools_row(&play(roll(seed)))),
         ("hurry", Some(seeds)) => table(&CHAIN, seeds, |seed| chain_row(&play(hurry(seed)))),
         _ => {
-            eprintln!("usage: cometspool-fleet chain|hurry|pools|roll [seeds]");
+            eprintln!("usage: cometspool-fleet chain|hurry|pools|roll|health [seeds]");
             return ExitCode::from(2);
         }
     }
@@ -143,6 +149,59 @@
     }
 }
 
+const HEALTH: [&str; 6] = [
+    "to bad, of firsts",
+    "in the last 20 s",
+    "trials/bad/s",
+    "s to under 1 %",
+    "served share",
+    "aside/door/h",
+];
+
+/// One backend in eight answers with errors at once from 10 s on; the rest are at six tenths of what they can do, and one
+/// answer in five hundred of theirs is an error too.
+fn health(doors: u32, seed: u64) -> Spec {
+    let backends = if doors < 30 { 12 } else { 2 * doors as usize / 3 };
+    let mut chance = Chance::new(seed ^ 0x61c8);
+    let spec = |speed| BackendSpec { speed, ill: Ill::No, ..BackendSpec::default() };
+    let backends: Vec<_> = (0..backends).map(|_| spec(0.85 + 0.25 * chance.even())).collect();
+    let count = backends.len();
+    let mut faults: Vec<_> = (0..count).map(|i| (0.0, Fault::Ill(i, Ill::Errors(0.002)))).collect();
+    faults.extend((0..count).step_by(8).map(|i| (10_000.0, Fault::Ill(i, Ill::Errors(1.0)))));
+    let rate = 0.6 * count as f64 * 4000.0 / 208.0 / f64::from(doors);
+    Spec {
+        settings: settings(doors),
+        backends,
+        zones: 1,
+        rate,
+        length: 50_000.0,
+        faults,
+        table: None,
+        ..pools(seed)
+    }
+}
+
+fn health_row(doors: u32, seed: u64) -> Vec<f64> {
+    let spec = health(doors, seed);
+    let bad = spec.backends.len().div_ceil(8) as f64;
+    let tally = play(spec);
+    let share = |from: usize, to: usize| {
+        let sum =
+            tally.to_ill[from..to].iter().fold((0, 0), |sum, second| (sum.0 + second.0, sum.1 + second.1));
+        (sum.1 as f64 / sum.0.max(1) as f64, sum.1 as f64)
+    };
+    let (all, late) = (share(10, 50), share(30, 50));
+    let under = (10..49).find(|second| share(*second, second + 2).0 < 0.01).unwrap_or(50);
+    vec![
+        all.0,
+        late.0,
+        late.1 / 20.0 / bad,
+        under as f64 - 10.0,
+        tally.share(),
+        tally.set_aside[0] as f64 / f64::from(doors) * 3600.0 / 50.0,
+    ]
+}
+
 const POOLS: [&str; 8] = [
     "dials per first",
     "refused dials",
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -75,6 +75,12 @@
 const TRUST_STEP: f64 = 0.2;
 /// Distrust at which a backend is reported as set aside, and half of which takes it back.
 const SET_ASIDE: f64 = 0.5;
+/// A backend that answers with errors is ejected for this many shortest aims at least, and for one for each
+/// gateway that meets it: together they try it once an aim. Each failed trial doubles it, so many times.
+const EJECT_AIMS: f64 = 4.0;
+const EJECT_DOUBLINGS: u32 = 4;
+/// Part of the backends beyond which ejection is ignored: what all have in common is no fault of theirs.
+const PANIC_PART: f64 = 0.5;
 /// Backends, in whole warm ones, that a gateway of many keeps to at least: few enough that its
 /// connections are used again and that it hears from each often, enough that losing some leaves room.
 const CIRCLE_LEAST: f64 = 12.0;
@@ -198,6 +204,12 @@
     /// By class; a class that it has not been sent has no entry.
     classes: BTreeMap<ClassId, ForClass>,
     set_aside: bool,
+    /// How far its answers of late were errors, from nought to one. It does not fade: one that is seldom
+    /// asked would be tried for ever.
+    wrong: f64,
+    /// Until when it is ejected, and how often in a row it has been; beyond that time it is half-open.
+    ejected_until: Millis,
+    ejections: u32,
     /// Units that it has yet to get of its part, as of `due_at`.
     due: f64,
     due_at: Millis,
@@ -567,7 +579,7 @@
         let mut held = 0.0;
         let circle = kept.iter().copied().chain(rest).take_while(|backend| {
             let more = held < wanted;
-            if self.faded(now, backend.distrust, DISTRUST_AIMS) <= FORGOTTEN {
+            if self.faded(now, backend.distrust, DISTRUST_AIMS) <= FORGOTTEN && backend.ejections == 0 {
                 held += self.warmth(now, backend);
             }
             more
@@ -608,10 +620,12 @@
         let turn = self.common_pace() / (1.0 + (load / among.len().max(1) as f64 / SPARSE_LOAD).powi(4));
         let mut best: Option<(f64, BackendId, Millis)> = None;
         let mut rng = self.rng.clone();
+        let panic = self.panics(now);
         for id in among {
             let Some(backend) = self.backends.get(id) else { continue };
             let copied = live.out.iter().any(|(_, at)| at == id);
-            if copied || !fits(&backend.entry) || !self.warm_enough(now, backend, even_rate) {
+            let barred = !panic && self.barred(now, live, backend);
+            if copied || barred || !fits(&backend.entry) || !self.warm_enough(now, backend, even_rate) {
                 continue;
             }
             let wait = self.wait(backend);
@@ -638,6 +652,29 @@
         cost
     }
 
+    /// Whether a backend gets nothing of this request: it is ejected, or half-open, when only one request at
+    /// a time tries it, which may be repeated at no harm.
+    fn barred(&self, now: Millis, live: &Live, backend: &Backend) -> bool {
+        let safe = self.set.classes[live.request.class.0].effect == Effect::Safe;
+        backend.ejections > 0 && (now < backend.ejected_until || !safe || !backend.out.is_empty())
+    }
+
+    /// Whether so many are ejected that the rest would be overrun, or that it is no fault of theirs.
+    fn panics(&self, now: Millis) -> bool {
+        let (all, out) = self.ready().fold((0.0, 0.0), |(all, out), backend| {
+            (all + 1.0, out + f64::from(u8::from(now < backend.ejected_until)))
+        });
+        out > PANIC_PART * all
+    }
+
+    /// How long a backend is ejected, the `times`th time in a row: jittered, and longer the more meet it.
+    fn ejection(&mut self, times: u32) -> Millis {
+        let ready = self.ready().count().max(1) as f64;
+        let meeting = f64::from(self.set.gateways) * (CIRCLE_LEAST / ready).min(1.0);
+        let doubled = f64::from(1 << (times - 1).min(EJECT_DOUBLINGS));
+        meeting.max(EJECT_AIMS) * self.aim * doubled * (0.5 + chance(&mut self.rng))
+    }
+
     fn ready(&self) -> impl Iterator<Item = &Backend> {
         self.backends.values().filter(|b| b.entry.availability == Availability::Ready)
     }
@@ -1068,6 +1105,21 @@
         };
         *known = Distrust { value, at: now };
         let after = self.faded(now, backend.distrust, DISTRUST_AIMS);
+        // Errors come sooner than work is done: unless it is left alone it would be tried most of all.
+        let tried = flight.is_some_and(|flight| backend.ejections > 0 && flight.at >= backend.ejected_until);
+        match settled.outcome {
+            Outcome::Ok => backend.wrong *= 1.0 - TRUST_STEP,
+            Outcome::Error => backend.wrong += DISTRUST_STEP * (1.0 - backend.wrong),
+            _ => {}
+        }
+        match settled.outcome {
+            Outcome::Ok if tried => backend.ejections -= 1,
+            Outcome::Error if tried || (backend.ejections == 0 && backend.wrong > SET_ASIDE) => {
+                backend.ejections += 1;
+                backend.ejected_until = now + self.ejection(backend.ejections);
+            }
+            _ => {}
+        }
         if !backend.set_aside && after > SET_ASIDE {
             backend.set_aside = true;
             actions
@@ -1171,6 +1223,9 @@
             full: BTreeMap::new(),
             classes: BTreeMap::new(),
             set_aside: false,
+            wrong: 0.0,
+            ejected_until: f64::NEG_INFINITY,
+            ejections: 0,
             due: -debt,
             due_at: now,
         }
