--- a/tests/time.rs
+++ b/tests/time.rs
@@ -100,7 +100,7 @@
     let mut client = TcpStream::from(small);
     client.set_read_timeout(Some(PATIENCE)).expect("a socket");
     // The system takes some MB for a reader that does not read; what is beyond waits in the front door.
-    for id in 0..16 {
+    for id in 0..48 {
         client
             .write_all(request_of(&format!("id-{id}"), "charge", "wide", "3").as_bytes())
             .expect("a reader");
@@ -127,7 +127,7 @@
     // It ends, in whichever way; what came is not whole, and the client can tell by the length.
     let _ = client.read_to_end(&mut got);
     let (_backend, served) = serving.join().expect("a backend");
-    assert!(served < 16 && !got.is_empty() && got.len() < served * 16 * 65_000, "{} of {served}", got.len());
+    assert!(served < 48 && !got.is_empty() && got.len() < served * 16 * 65_000, "{} of {served}", got.len());
 }
 
 /// Guards against a backend that drips its answer: the attempt ends with its time however often a byte comes, its
@@ -164,7 +164,7 @@
     let mut half_answered = Program::start(settings(), discovery.address(), start(place.address(), "s-0"));
     let mut dialling = Program::start(settings(), discovery.address(), start(crowded.address(), "s-1"));
     let mut client = half_answered.client();
-    client.write(request_of("id-1", "charge", "wide", "2"));
+    client.write(request_of("id-1", "charge", "wide", LONG));
     let mut backend = place.accept();
     backend.read();
     backend.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
