--- a/tests/sockets/mod.rs
+++ b/crates/rig/src/hand.rs
@@ -1,12 +1,11 @@
 //! The built front door between sockets that a test holds: it plays the clients, backends and discovery by
 //! hand, a message at a time. Nothing here sleeps; what does not come within `PATIENCE` fails the test.
 
-#![allow(dead_code)]
-
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -48,6 +47,8 @@
 pub struct Place(pub TcpListener);
 
 impl Place {
+    // A default would hide that it takes a port.
+    #[allow(clippy::new_without_default)]
     pub fn new() -> Place {
         Place(TcpListener::bind("127.0.0.1:0").expect("a port"))
     }
@@ -256,12 +257,28 @@
 
 static FILES: AtomicU32 = AtomicU32::new(0);
 
+/// Where the built program lies: `COMETSPOOL_PROGRAM`, or beside what runs, a test or the rig's own binary.
+pub fn program() -> PathBuf {
+    if let Some(told) = std::env::var_os("COMETSPOOL_PROGRAM") {
+        return told.into();
+    }
+    let own = std::env::current_exe().expect("a path");
+    let found =
+        own.ancestors().skip(1).take(2).map(|folder| folder.join("cometspool")).find(|path| path.is_file());
+    found.unwrap_or_else(|| panic!("no program beside {}: build it first", own.display()))
+}
+
+/// A file name of this process's own, in the system's folder for temporary files.
+pub fn scratch(name: &str) -> String {
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    format!("{}/cometspool-{}-{number}-{name}", std::env::temp_dir().display(), std::process::id())
+}
+
 /// Starts the program with a configuration file of this text; the file's path comes along.
 pub fn spawn(config: &str, variables: &[(&str, &str)]) -> (Child, String) {
-    let number = FILES.fetch_add(1, Ordering::Relaxed);
-    let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let path = scratch("config.json");
     std::fs::write(&path, config).expect("a file");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_cometspool"));
+    let mut command = Command::new(program());
     for name in ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY"] {
         command.env_remove(name);
     }
@@ -352,6 +369,7 @@
         // It may have ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,9 @@
+//! The rig: several processes of the program, the stand-ins they need, and faults between them.
+//!
+//! `docs/RIG.md` tells how to use it. Nothing here is part of the product, and nothing of it leaves loopback.
+
+#![forbid(unsafe_code)]
+
+pub mod ground;
+pub mod hand;
+pub mod link;
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -1,8 +1,6 @@
 //! The front door over loopback sockets: each test names what it guards.
 
-mod sockets;
-
-use sockets::*;
+use cometspool_rig::hand::*;
 use std::io::Read;
 use std::process::ExitStatus;
 
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -95,7 +95,7 @@
     let count = std::cell::Cell::new(0u32);
     let noisy = |_| {
         count.set(count.get() + 1);
-        count.get() % 100 == 0
+        count.get().is_multiple_of(100)
     };
     let sent = play(&mut stage, (0.0, 100_000.0, 20.0), 0, &noisy);
     assert!(sent.values().all(|sent| (500..=800).contains(sent)), "{sent:?}");
--- a/tests/time.rs
+++ b/tests/time.rs
@@ -1,9 +1,7 @@
 //! A request's time over loopback sockets: what bounds it from the client's first byte to the last one of its answer.
 
-mod sockets;
-
+use cometspool_rig::hand::*;
 use serde_json::json;
-use sockets::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -176,7 +174,7 @@
     assert_eq!(idle.read().status(), 200);
     let mut waiting = dialling.client();
     waiting.write(request_of("id-3", "charge", "wide", "2"));
-    wait_for("a dial", || sockets::dialling(crowded.address()).then_some(()));
+    wait_for("a dial", || cometspool_rig::hand::dialling(crowded.address()).then_some(()));
     half_answered.terminate();
     dialling.terminate();
     // Idle connections are closed once nobody is sent here any more; from then on new ones are turned away.
@@ -203,14 +201,12 @@
 #[test]
 fn a_successor_runs_nothing_twice_and_grants_no_more_time() {
     let (discovery, place) = (Place::new(), Place::new());
-    let path = format!("{}/handover-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let path = scratch("handover");
     // No aim is shorter than the client's own time, so that this is what a backend is told of.
     let mut settings = settings();
     for grade in settings["grades"].as_array_mut().expect("grades") {
         (grade["aim"], grade["give_up"]) = (20_000.0.into(), 20_000.0.into());
     }
-    // What an earlier run may have left.
-    let _ = std::fs::remove_file(&path);
     let config = json!({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address().to_string(),
         "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
