Let the rig start processes with stand-ins, clients, a history and checkers

The rig starts the built program with a configuration, folder and log for each process, on a block of loopback addresses of its own; backends with their meter, discovery and the count keeper answer by the protocol; clients ask through a front that notices the dead late.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,14 @@
 
 #![forbid(unsafe_code)]
 
+pub mod check;
 pub mod ground;
 pub mod hand;
+pub mod history;
 pub mod link;
+pub mod load;
+pub mod process;
+pub mod rig;
+pub mod standins;
+
+pub use rig::{Plan, Rig};
--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -7,8 +7,8 @@
 //! What a link cannot play: a dial into a cut comes up, since the system answers it before the rig sees it, and then
 //! stays silent; a process that is not there shows as a reset right after the dial.
 
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::SocketAddr;
@@ -106,7 +106,7 @@
     resets: watch::Sender<u64>,
     /// Bytes after which the connection that next carries some is cut short; none is [`u64::MAX`].
     half: AtomicU64,
-    chance: Mutex<SmallRng>,
+    chance: Mutex<StdRng>,
     /// When the rate limit has passed on all that it was given.
     free: Mutex<Instant>,
     /// What it has done.
@@ -127,7 +127,7 @@
             quality: watch::Sender::new(Quality::default()),
             resets: watch::Sender::new(0),
             half: AtomicU64::new(u64::MAX),
-            chance: Mutex::new(SmallRng::seed_from_u64(seed)),
+            chance: Mutex::new(StdRng::seed_from_u64(seed)),
             free: Mutex::new(Instant::now()),
             acted: Acted::default(),
         })
