Let front doors speak to each other: links, frames and membership, behind a fleet block

Nothing told one front door of another. Frames carry fleet, generation and version in a head that is checked before the body; queues have limits by lane; a peer that is silent, dribbles or does not read loses its link after four beats. A bad block stops the start with its key and exit code 2. A clock that is off is a switch for tests. On the rig six processes find and lose each other through a kill, a pause, thirds and a planned stop under load with no rule broken, and foreign, damaged and halting frames are counted and end their connection.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,15 +9,15 @@
 fn main() -> ExitCode {
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("cometspool: {error}");
-            ExitCode::FAILURE
+        Err(stopped) => {
+            eprintln!("cometspool: {}", stopped.why);
+            ExitCode::from(stopped.code)
         }
     }
 }
 
 /// Serves on one thread: a front door has one core, and nothing on the path needs a lock.
-fn serve() -> Result<(), String> {
+fn serve() -> Result<(), net::Stopped> {
     let woken = net::budget::Woken::new();
     let noted = woken.clone();
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,7 @@
 //! What a front door is told: the `BALANCER_*` variables and the JSON file that one of them names.
 
+use super::clock::Skew;
+use super::fleet::block::{Block, Raw};
 use super::members::Members;
 use cometspool::settings::{self, Told};
 use serde::Deserialize;
@@ -41,6 +43,20 @@
     /// A figure is out of bounds.
     #[error("{0}")]
     Value(String),
+    /// Something is wrong with the fleet block; the key is named.
+    #[error("{0}")]
+    Fleet(String),
+}
+
+impl ConfigError {
+    /// The exit code of a start that ends with it.
+    pub fn code(&self) -> u8 {
+        if matches!(self, ConfigError::Fleet(_)) {
+            2
+        } else {
+            1
+        }
+    }
 }
 
 /// Limits of the machine that bear on how the front door is built.
@@ -71,6 +87,10 @@
     limits: Limits,
     known: Option<Members>,
     handover: Option<PathBuf>,
+    fleet: Option<Value>,
+    #[serde(default)]
+    test: bool,
+    clock: Option<Skew>,
     settings: Value,
 }
 
@@ -91,6 +111,10 @@
     pub known: Option<Members>,
     /// Where what a successor has to know is kept; nowhere unless told.
     pub handover: Option<PathBuf>,
+    /// What it is told of its fleet; nothing unless told.
+    pub fleet: Option<Block>,
+    /// How far its clock is off, in a test.
+    pub clock: Skew,
     /// The settings.
     pub told: Told,
 }
@@ -104,8 +128,11 @@
         let file = File::read()?;
         let told_or = |name: &str, otherwise: &str| std::env::var(name).unwrap_or(otherwise.to_owned());
         let (seed, told) = file.check()?;
+        let name = told_or("BALANCER_NAME", &file.name);
         Ok(Config {
-            name: told_or("BALANCER_NAME", &file.name),
+            fleet: file.fleet(&name)?,
+            clock: file.clock.unwrap_or_default(),
+            name,
             listen: address("BALANCER_LISTEN", &told_or("BALANCER_LISTEN", &file.listen))?,
             discovery: address("BALANCER_DISCOVERY", &told_or("BALANCER_DISCOVERY", &file.discovery))?,
             seed,
@@ -116,12 +143,18 @@
         })
     }
 
+    /// Descriptors that are left for clients and backends beside those of the fleet layer.
+    pub fn sockets(&self) -> usize {
+        self.limits.sockets.saturating_sub(self.fleet.as_ref().map_or(0, Block::descriptors))
+    }
+
     /// Where discovery answers from now on, by a file that was replaced while the program runs. The file goes
     /// before the variable here: a variable cannot change in a running process, so it tells the old address.
     /// The whole file must be usable.
     pub fn told_discovery() -> Result<SocketAddr, ConfigError> {
         let file = File::read()?;
         file.check()?;
+        file.fleet(&std::env::var("BALANCER_NAME").unwrap_or(file.name.clone()))?;
         address("discovery", &file.discovery)
     }
 }
@@ -135,6 +168,22 @@
         serde_json::from_str(&text).map_err(|error| ConfigError::Malformed { path, error })
     }
 
+    /// The fleet block of the front door called `own`, if there is one and it is usable.
+    fn fleet(&self, own: &str) -> Result<Option<Block>, ConfigError> {
+        let Some(value) = &self.fleet else { return Ok(None) };
+        let raw: Raw = serde_json::from_value(value.clone())
+            .map_err(|error| ConfigError::Fleet(format!("fleet: {error}")))?;
+        let block = raw.check(own)?;
+        if self.limits.sockets < block.descriptors() + LEAST_SOCKETS {
+            let text = format!(
+                "fleet.accepted: {} and fleet.links: {} leave too little of {} sockets",
+                block.accepted, block.links, self.limits.sockets
+            );
+            return Err(ConfigError::Fleet(text));
+        }
+        Ok(Some(block))
+    }
+
     /// The seed and the settings, if they and the limits are usable.
     fn check(&self) -> Result<(u64, Told), ConfigError> {
         let seed = u64::from_str_radix(&self.seed, 16)
@@ -146,6 +195,18 @@
         if self.handover.as_ref().is_some_and(|path| path.file_name().is_none()) {
             return Err(ConfigError::Value("handover: that is no name of a file".to_owned()));
         }
+        if let Some(clock) = &self.clock {
+            if !self.test {
+                return Err(ConfigError::Value(
+                    "clock: only a test may set it, and says so with \"test\"".to_owned(),
+                ));
+            }
+            if !clock.sound() {
+                return Err(ConfigError::Value(
+                    "clock: a rate from 0.1 to 10 and a time are wanted".to_owned(),
+                ));
+            }
+        }
         Ok((seed, settings::parse(&facts(&self.settings)).map_err(ConfigError::Value)?))
     }
 }
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -167,8 +167,8 @@
     /// A front door with an empty list of backends.
     pub fn new(config: &Config, woken: Woken) -> Result<Rc<Door>, String> {
         let told = &config.told;
-        let (clock, doors) = (Clock::new(), told.settings.gateways);
-        let room = room::budget(config.limits.sockets, config.limits.memory_mb << 20);
+        let (clock, doors) = (Clock::skewed(config.clock), told.settings.gateways);
+        let room = room::budget(config.sockets(), config.limits.memory_mb << 20);
         let pools = Rc::new(Pools::new(told.links, room, doors, config.seed, clock));
         let reading = Rc::new(Reading::new(told, config.limits.memory_mb << 20));
         let way = Way { pools: pools.clone(), reading, clock };
--- /dev/null
+++ b/src/net/fleet/mod.rs
@@ -0,0 +1,81 @@
+//! Front doors that act together. Off unless the configuration has a `fleet` block: then nothing here exists, no socket, no
+//! task, no call. `docs/FLEET.md` has the layers and what each promises.
+
+pub mod block;
+mod frame;
+mod hints;
+mod outbox;
+mod way;
+
+use super::clock::Clock;
+use block::Block;
+use frame::Kind;
+use hints::Hints;
+use serde_json::{json, Value};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use way::Way;
+
+/// One line of the log, as JSON: the rig and operators' tools read it.
+pub(crate) fn say(what: &str, own: &str, mut more: Value) {
+    more["what"] = what.into();
+    more["name"] = own.into();
+    eprintln!("{more}");
+}
+
+/// The fleet as its front door knows it.
+pub struct Fleet {
+    block: Block,
+    way: Rc<Way>,
+    hints: Option<Rc<Hints>>,
+}
+
+impl Fleet {
+    /// Listens for the others and begins to look for them. `told` is the fleet's size by the settings; `seed` is new with
+    /// each start.
+    pub async fn start(block: Block, clock: Clock, told: u32, seed: u64) -> Result<Rc<Fleet>, String> {
+        let no_listener = |error| format!("fleet.listen: {}: {error}", block.listen);
+        let listener = TcpListener::bind(block.listen).await.map_err(no_listener)?;
+        let socket = UdpSocket::bind(block.listen).await.map_err(no_listener)?;
+        // A start draws its life from its seed and from when it was: no two starts share both.
+        let life = seed.rotate_left(32) ^ clock.now().to_bits();
+        let way = Way::new(block.clone(), life);
+        let hints =
+            block.membership.then(|| Hints::new(&block, socket, way.clone(), clock, told, life, seed));
+        let fleet = Rc::new(Fleet { block, way: way.clone(), hints });
+        let takes = fleet.clone();
+        way.take(Rc::new(move |from, frame| {
+            if let (Some(hints), Some(Kind::Compare)) = (&takes.hints, frame.kind) {
+                hints.compared(from, frame.body());
+            }
+        }));
+        tokio::task::spawn_local(way.accept(listener));
+        if let Some(hints) = &fleet.hints {
+            tokio::task::spawn_local(hints.clone().run());
+        }
+        tokio::task::spawn_local(fleet.clone().tell());
+        Ok(fleet)
+    }
+
+    /// Tells its counters from time to time, for as long as the front door runs.
+    async fn tell(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(self.block.tell_ms)).await;
+            say("fleet", &self.block.own, self.status());
+        }
+    }
+
+    fn status(&self) -> Value {
+        let (dialled, accepted) = self.way.links();
+        let members = self.hints.as_ref().map(|hints| hints.status());
+        json!({"dialled": dialled, "accepted": accepted, "way": *self.way.counts.borrow(), "members": members})
+    }
+
+    /// Tells the others that this one goes: a planned stop begins.
+    pub fn leave(&self) {
+        if let Some(hints) = &self.hints {
+            hints.leave();
+        }
+    }
+}
--- /dev/null
+++ b/src/net/fleet/outbox.rs
@@ -0,0 +1,101 @@
+//! What waits to go out to one peer: three lanes, each with a limit.
+
+use std::collections::VecDeque;
+use tokio_util::bytes::Bytes;
+
+/// How urgent a frame is: a lane goes out only while those before it are empty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// What the keepers of the record agree by.
+    #[allow(dead_code, reason = "the record is its user")]
+    Agreement,
+    /// What is copied.
+    #[allow(dead_code, reason = "the record is its user")]
+    Copies,
+    /// What is only a hint: of too many, the oldest are dropped.
+    Hints,
+}
+
+/// There is no room in a lane.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+/// Frames on their way to one peer.
+#[derive(Debug)]
+pub struct Outbox {
+    lanes: [VecDeque<Bytes>; 3],
+    bytes: [usize; 3],
+    /// Bytes in each lane at most.
+    limit: usize,
+    /// Hints that were dropped for newer ones.
+    pub dropped: u64,
+}
+
+impl Outbox {
+    /// An empty one with room for `limit` bytes in each lane.
+    pub fn new(limit: usize) -> Outbox {
+        Outbox { lanes: Default::default(), bytes: [0; 3], limit, dropped: 0 }
+    }
+
+    /// Puts a frame at the end of its lane.
+    pub fn push(&mut self, lane: Lane, frame: Bytes) -> Result<(), Full> {
+        let (at, limit) = (lane as usize, self.limit);
+        if frame.len() > limit {
+            return Err(Full);
+        }
+        while self.bytes[at] + frame.len() > limit {
+            if lane != Lane::Hints {
+                return Err(Full);
+            }
+            let Some(oldest) = self.lanes[at].pop_front() else { break };
+            self.bytes[at] -= oldest.len();
+            self.dropped += 1;
+        }
+        self.bytes[at] += frame.len();
+        self.lanes[at].push_back(frame);
+        Ok(())
+    }
+
+    /// Takes the frame that goes next.
+    pub fn pop(&mut self) -> Option<Bytes> {
+        let at = self.lanes.iter().position(|lane| !lane.is_empty())?;
+        let frame = self.lanes[at].pop_front()?;
+        self.bytes[at] -= frame.len();
+        Some(frame)
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.lanes.iter().all(VecDeque::is_empty)
+    }
+
+    /// Forgets all that waits: what is told to nobody for too long is old.
+    pub fn clear(&mut self) {
+        (self.lanes, self.bytes) = Default::default();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the order and the limits: the urgent lane first, refusals where nothing may be dropped, the oldest hints gone,
+    /// and one lane's flood no matter of another's.
+    #[test]
+    fn urgent_frames_go_first_and_no_lane_grows_past_its_limit() {
+        let frame = |byte: u8| Bytes::from(vec![byte; 40]);
+        let mut outbox = Outbox::new(100);
+        for byte in 0..10 {
+            assert_eq!(outbox.push(Lane::Hints, frame(byte)), Ok(()));
+        }
+        assert_eq!(outbox.dropped, 8);
+        assert_eq!(outbox.push(Lane::Copies, frame(20)), Ok(()));
+        assert_eq!(outbox.push(Lane::Agreement, frame(30)), Ok(()));
+        assert_eq!(outbox.push(Lane::Agreement, frame(31)), Ok(()));
+        assert_eq!(outbox.push(Lane::Agreement, frame(32)), Err(Full));
+        assert_eq!(outbox.push(Lane::Hints, Bytes::from(vec![0; 101])), Err(Full));
+        let order: Vec<u8> = std::iter::from_fn(|| outbox.pop()).map(|frame| frame[0]).collect();
+        assert_eq!(order, [30, 31, 20, 8, 9]);
+        assert!(outbox.is_empty() && outbox.bytes == [0; 3]);
+    }
+}
--- /dev/null
+++ b/src/net/fleet/way.rs
@@ -0,0 +1,505 @@
+//! The way between front doors: a listener, and one kept connection per peer that is needed.
+//!
+//! A connection carries both ways, whoever dialled. It begins with a greeting each way, and ends when no whole frame came
+//! for four beats: a peer that is silent, dribbles or does not read costs no more than its own connection and its outbox.
+
+use super::block::Block;
+use super::frame::{body, Broken, Foreign, Frame, Kind, Seal, HEAD};
+use super::outbox::{Full, Lane, Outbox};
+use backon::{BackoffBuilder, ExponentialBuilder};
+use cometspool_membership::LONGEST_NAME;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, Instant};
+use tokio_stream::StreamExt;
+use tokio_util::codec::FramedRead;
+
+/// First and longest pause before a peer is dialled again; between them it doubles, and is drawn.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+/// Dials in a row without a link after which what waited is dropped: it is old by then.
+const TRIES: usize = 6;
+/// Peers of whom something is kept at most.
+const PEERS: usize = 4096;
+/// Beats without a whole frame after which a link ends.
+const SILENT: u32 = 4;
+/// Pause when the system has no descriptor for a new connection.
+const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
+
+/// The first frame each way.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    name: String,
+    /// Whom the sender means to greet: an address may have passed to another.
+    to: String,
+    /// Drawn at the sender's start.
+    life: u64,
+}
+
+/// What went by and what was turned away.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Counts {
+    /// Dials that were begun.
+    pub dials: u64,
+    /// Dials that gave no link.
+    pub dials_failed: u64,
+    /// Links that came up, dialled by whomever.
+    pub up: u64,
+    /// Links that ended.
+    pub down: u64,
+    /// Of these, for want of a whole frame in time, in either direction.
+    pub silent: u64,
+    /// Frames and their bytes, sent and read on links.
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub read: u64,
+    pub read_bytes: u64,
+    /// Frames that found no room.
+    pub full: u64,
+    /// Hints dropped for newer ones.
+    pub dropped: u64,
+    /// Frames and datagrams turned away: no frames, or of no sound checksum; another version; fleet; generation; too long.
+    pub mark: u64,
+    pub checksum: u64,
+    pub version: u64,
+    pub fleet: u64,
+    pub generation: u64,
+    pub size: u64,
+    /// Greetings for or from somebody else.
+    pub wrong_name: u64,
+    /// Frames of a kind that is not known here.
+    pub unknown: u64,
+    /// Connections closed for too many others.
+    pub crowded: u64,
+}
+
+impl Counts {
+    /// Notes why something was turned away.
+    pub fn foreign(&mut self, why: Foreign) {
+        *match why {
+            Foreign::Mark => &mut self.mark,
+            Foreign::Checksum => &mut self.checksum,
+            Foreign::Version(_) => &mut self.version,
+            Foreign::Fleet => &mut self.fleet,
+            Foreign::Generation(_) => &mut self.generation,
+            Foreign::Size(_) => &mut self.size,
+        } += 1;
+    }
+}
+
+/// A link that is up.
+struct Link {
+    number: u64,
+    dialled: bool,
+    life: u64,
+    end: Rc<Notify>,
+}
+
+struct Peer {
+    name: Rc<str>,
+    outbox: RefCell<Outbox>,
+    wake: Notify,
+    link: RefCell<Option<Link>>,
+    dialling: Cell<bool>,
+    /// When it was last needed.
+    used: Cell<Instant>,
+}
+
+/// Takes in the frames that come on links.
+type Taker = dyn Fn(&str, &Frame);
+
+/// The way.
+pub struct Way {
+    block: Block,
+    /// What frames of this fleet carry.
+    pub seal: Seal,
+    life: u64,
+    peers: RefCell<HashMap<Rc<str>, Rc<Peer>>>,
+    taker: RefCell<Option<Rc<Taker>>>,
+    /// What went by.
+    pub counts: RefCell<Counts>,
+    links: Cell<u64>,
+    accepted: Cell<usize>,
+}
+
+/// Why a link ended.
+enum End {
+    Closed,
+    Silent,
+    Idle,
+    Broken(Broken),
+}
+
+impl Way {
+    /// The way of a front door whose present life is `life`.
+    pub fn new(block: Block, life: u64) -> Rc<Way> {
+        let seal = Seal::new(&block.fleet, block.generation, block.frame_bytes);
+        Rc::new(Way {
+            block,
+            seal,
+            life,
+            peers: RefCell::default(),
+            taker: RefCell::default(),
+            counts: RefCell::default(),
+            links: Cell::new(0),
+            accepted: Cell::new(0),
+        })
+    }
+
+    /// Names who takes in what comes.
+    pub fn take(&self, taker: Rc<Taker>) {
+        *self.taker.borrow_mut() = Some(taker);
+    }
+
+    /// Links that are up: those dialled here, and the others.
+    pub fn links(&self) -> (usize, usize) {
+        let peers = self.peers.borrow();
+        let dialled: Vec<bool> =
+            peers.values().filter_map(|peer| peer.link.borrow().as_ref().map(|link| link.dialled)).collect();
+        let here = dialled.iter().filter(|dialled| **dialled).count();
+        (here, dialled.len() - here)
+    }
+
+    /// Sends a frame to a peer: on the link that is there, or on one that is dialled for it, at the told address or else at
+    /// `at`. There is no room for more than the limits allow.
+    pub fn send(
+        self: &Rc<Self>,
+        to: &str,
+        at: SocketAddr,
+        lane: Lane,
+        kind: Kind,
+        content: &[u8],
+    ) -> Result<(), Full> {
+        let sent = self.try_send(to, at, lane, kind, content);
+        if sent.is_err() {
+            self.counts.borrow_mut().full += 1;
+        }
+        sent
+    }
+
+    fn try_send(
+        self: &Rc<Self>,
+        to: &str,
+        at: SocketAddr,
+        lane: Lane,
+        kind: Kind,
+        content: &[u8],
+    ) -> Result<(), Full> {
+        if to == self.block.own {
+            return Err(Full);
+        }
+        let frame = self.seal.frame(kind, content).ok_or(Full)?;
+        let peer = self.peer(to).ok_or(Full)?;
+        let linked = peer.link.borrow().is_some() || peer.dialling.get();
+        if !linked && !self.make_room() {
+            self.forget(&peer);
+            return Err(Full);
+        }
+        peer.used.set(Instant::now());
+        let dropped = {
+            let mut outbox = peer.outbox.borrow_mut();
+            let before = outbox.dropped;
+            outbox.push(lane, frame)?;
+            outbox.dropped - before
+        };
+        self.counts.borrow_mut().dropped += dropped;
+        if linked {
+            peer.wake.notify_one();
+        } else {
+            peer.dialling.set(true);
+            let at = self.block.peers.get(to).copied().unwrap_or(at);
+            tokio::task::spawn_local(self.clone().dial(peer, at));
+        }
+        Ok(())
+    }
+
+    fn peer(&self, name: &str) -> Option<Rc<Peer>> {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(peer) = peers.get(name) {
+            return Some(peer.clone());
+        }
+        if peers.len() >= PEERS || name.is_empty() || name.len() > LONGEST_NAME {
+            return None;
+        }
+        let name: Rc<str> = name.into();
+        let peer = Rc::new(Peer {
+            name: name.clone(),
+            outbox: RefCell::new(Outbox::new(self.block.queue_bytes)),
+            wake: Notify::new(),
+            link: RefCell::default(),
+            dialling: Cell::new(false),
+            used: Cell::new(Instant::now()),
+        });
+        peers.insert(name, peer.clone());
+        Some(peer)
+    }
+
+    /// Forgets a peer with whom nothing is going on.
+    fn forget(&self, peer: &Peer) {
+        let idle = peer.link.borrow().is_none() && !peer.dialling.get() && peer.outbox.borrow().is_empty();
+        if idle {
+            self.peers.borrow_mut().remove(&peer.name);
+        }
+    }
+
+    /// Whether one more may be dialled; the one that was least lately needed, and has nothing to carry, leaves for it.
+    fn make_room(&self) -> bool {
+        let peers = self.peers.borrow();
+        let ours = |peer: &&Rc<Peer>| {
+            peer.dialling.get() || peer.link.borrow().as_ref().is_some_and(|link| link.dialled)
+        };
+        if peers.values().filter(ours).count() < self.block.links {
+            return true;
+        }
+        let spare = peers.values().filter(|peer| {
+            peer.outbox.borrow().is_empty() && peer.link.borrow().as_ref().is_some_and(|link| link.dialled)
+        });
+        let Some(spare) = spare.min_by_key(|peer| peer.used.get()) else { return false };
+        if let Some(link) = spare.link.borrow_mut().take() {
+            link.end.notify_one();
+        }
+        true
+    }
+
+    // ---- Dialling -------------------------------------------------------------------------------------
+
+    /// Dials a peer until nothing waits for it any more, or nobody answers.
+    async fn dial(self: Rc<Self>, peer: Rc<Peer>, at: SocketAddr) {
+        let pauses = || {
+            let backoff = ExponentialBuilder::default().with_min_delay(AGAIN.0).with_max_delay(AGAIN.1);
+            backoff.with_max_times(TRIES - 1).with_jitter().build()
+        };
+        let mut pause = pauses();
+        loop {
+            self.counts.borrow_mut().dials += 1;
+            let hello = timeout(Duration::from_millis(self.block.hello_ms), self.greet(&peer, at)).await;
+            match hello {
+                Ok(Ok((reader, writer, life))) => {
+                    pause = pauses();
+                    // Two that dialled each other keep the link of the one whose name comes first.
+                    let theirs = peer.link.borrow().as_ref().is_some_and(|link| link.life == life);
+                    if !theirs || *self.block.own < *peer.name {
+                        self.run(&peer, reader, writer, true, life).await;
+                    }
+                }
+                Ok(Err(why)) => self.refused(why),
+                Err(_elapsed) => self.counts.borrow_mut().dials_failed += 1,
+            }
+            if peer.link.borrow().is_some() {
+                // The other side's dial came up meanwhile and carries what waits.
+                peer.wake.notify_one();
+                break;
+            }
+            if peer.outbox.borrow().is_empty() {
+                break;
+            }
+            match pause.next() {
+                Some(pause) => sleep(pause).await,
+                None => {
+                    peer.outbox.borrow_mut().clear();
+                    break;
+                }
+            }
+        }
+        peer.dialling.set(false);
+        self.forget(&peer);
+    }
+
+    async fn greet(
+        &self,
+        peer: &Peer,
+        at: SocketAddr,
+    ) -> Result<(FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>, OwnedWriteHalf, u64), Broken> {
+        let stream = TcpStream::connect(at).await?;
+        stream.set_nodelay(true)?;
+        let (reader, mut writer) = stream.into_split();
+        let mut reader = FramedRead::with_capacity(reader, self.seal, 4096);
+        self.say_hello(&mut writer, &peer.name).await?;
+        let hello = self.hear_hello(&mut reader).await?;
+        if hello.name != *peer.name {
+            self.counts.borrow_mut().wrong_name += 1;
+            return Err(io::Error::from(io::ErrorKind::AddrNotAvailable).into());
+        }
+        Ok((reader, writer, hello.life))
+    }
+
+    async fn say_hello(&self, writer: &mut OwnedWriteHalf, to: &str) -> Result<(), Broken> {
+        let hello = Hello { name: self.block.own.clone(), to: to.to_owned(), life: self.life };
+        let frame = self.seal.frame(Kind::Hello, &body(&hello)).ok_or(Foreign::Size(0))?;
+        Ok(writer.write_all(&frame).await?)
+    }
+
+    async fn hear_hello(
+        &self,
+        reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>,
+    ) -> Result<Hello, Broken> {
+        let frame = reader.next().await.ok_or(io::Error::from(io::ErrorKind::UnexpectedEof))??;
+        let hello: Option<Hello> = (frame.kind == Some(Kind::Hello)).then(|| frame.read()).flatten();
+        let hello = hello.ok_or(Foreign::Mark)?;
+        if hello.to != self.block.own || hello.name == self.block.own {
+            self.counts.borrow_mut().wrong_name += 1;
+            return Err(io::Error::from(io::ErrorKind::AddrNotAvailable).into());
+        }
+        Ok(hello)
+    }
+
+    fn refused(&self, why: Broken) {
+        let mut counts = self.counts.borrow_mut();
+        counts.dials_failed += 1;
+        if let Broken::Foreign(why) = why {
+            counts.foreign(why);
+        }
+    }
+
+    // ---- Being dialled --------------------------------------------------------------------------------
+
+    /// Accepts connections for as long as the front door runs.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if self.accepted.get() < self.block.accepted => {
+                    let way = self.clone();
+                    self.accepted.set(self.accepted.get() + 1);
+                    tokio::task::spawn_local(async move {
+                        way.welcome(stream).await;
+                        way.accepted.set(way.accepted.get() - 1);
+                    });
+                }
+                Ok(_) => self.counts.borrow_mut().crowded += 1,
+                Err(_) => sleep(NO_DESCRIPTOR).await,
+            }
+        }
+    }
+
+    async fn welcome(self: &Rc<Self>, stream: TcpStream) {
+        // Without it frames are late, not wrong.
+        let _ = stream.set_nodelay(true);
+        let (reader, mut writer) = stream.into_split();
+        let mut reader = FramedRead::with_capacity(reader, self.seal, 4096);
+        let greeting = async {
+            let hello = self.hear_hello(&mut reader).await?;
+            self.say_hello(&mut writer, &hello.name).await?;
+            Ok::<_, Broken>(hello)
+        };
+        let hello = match timeout(Duration::from_millis(self.block.hello_ms), greeting).await {
+            Ok(Ok(hello)) => hello,
+            Ok(Err(Broken::Foreign(why))) => return self.counts.borrow_mut().foreign(why),
+            Ok(Err(Broken::Io(_))) => return,
+            Err(_elapsed) => return self.counts.borrow_mut().silent += 1,
+        };
+        let Some(peer) = self.peer(&hello.name) else {
+            return self.counts.borrow_mut().crowded += 1;
+        };
+        let ours = peer.link.borrow().as_ref().is_some_and(|link| link.dialled && link.life == hello.life);
+        if ours && *self.block.own < *peer.name {
+            return;
+        }
+        self.run(&peer, reader, writer, false, hello.life).await;
+        self.forget(&peer);
+    }
+
+    // ---- Links ----------------------------------------------------------------------------------------
+
+    /// Carries frames both ways until the link ends; it takes the place of one that was there before.
+    async fn run(
+        self: &Rc<Self>,
+        peer: &Rc<Peer>,
+        mut reader: FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>,
+        mut writer: OwnedWriteHalf,
+        dialled: bool,
+        life: u64,
+    ) {
+        self.links.set(self.links.get() + 1);
+        let (number, end) = (self.links.get(), Rc::new(Notify::new()));
+        let before = peer.link.borrow_mut().replace(Link { number, dialled, life, end: end.clone() });
+        if let Some(before) = before {
+            before.end.notify_one();
+        }
+        self.counts.borrow_mut().up += 1;
+        let ended = tokio::select! {
+            ended = self.read(peer, &mut reader) => ended,
+            ended = self.write(peer, &mut writer, dialled) => ended,
+            () = end.notified() => End::Closed,
+        };
+        {
+            let mut counts = self.counts.borrow_mut();
+            counts.down += 1;
+            match ended {
+                End::Silent => counts.silent += 1,
+                End::Broken(Broken::Foreign(why)) => counts.foreign(why),
+                End::Broken(Broken::Io(_)) | End::Closed | End::Idle => {}
+            }
+        }
+        let mut link = peer.link.borrow_mut();
+        if link.as_ref().is_some_and(|link| link.number == number) {
+            *link = None;
+        }
+    }
+
+    fn silence(&self) -> Duration {
+        Duration::from_millis(self.block.beat_ms) * SILENT
+    }
+
+    async fn read(&self, peer: &Peer, reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>) -> End {
+        loop {
+            let frame = match timeout(self.silence(), reader.next()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(why))) => return End::Broken(why),
+                Ok(None) => return End::Closed,
+                Err(_elapsed) => return End::Silent,
+            };
+            {
+                let mut counts = self.counts.borrow_mut();
+                counts.read += 1;
+                counts.read_bytes += (HEAD + frame.body().len()) as u64;
+                counts.unknown += u64::from(frame.kind.is_none());
+            }
+            if matches!(frame.kind, Some(Kind::Beat | Kind::Hello) | None) {
+                continue;
+            }
+            peer.used.set(Instant::now());
+            let taker = self.taker.borrow().clone();
+            if let Some(taker) = taker {
+                taker(&peer.name, &frame);
+            }
+        }
+    }
+
+    async fn write(&self, peer: &Peer, writer: &mut OwnedWriteHalf, dialled: bool) -> End {
+        let beat = Duration::from_millis(self.block.beat_ms);
+        let Some(sign) = self.seal.frame(Kind::Beat, &[]) else { return End::Closed };
+        loop {
+            let next = peer.outbox.borrow_mut().pop();
+            let frame = match next {
+                Some(frame) => frame,
+                None => {
+                    let idle = peer.used.get().elapsed() >= Duration::from_millis(self.block.keep_ms);
+                    if dialled && idle {
+                        return End::Idle;
+                    }
+                    match timeout(beat, peer.wake.notified()).await {
+                        Ok(()) => continue,
+                        Err(_elapsed) => sign.clone(),
+                    }
+                }
+            };
+            match timeout(self.silence(), writer.write_all(&frame)).await {
+                Ok(Ok(())) => {
+                    let mut counts = self.counts.borrow_mut();
+                    counts.sent += 1;
+                    counts.sent_bytes += frame.len() as u64;
+                }
+                Ok(Err(error)) => return End::Broken(error.into()),
+                Err(_elapsed) => return End::Silent,
+            }
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 
 mod answers;
 pub mod config;
+mod fleet;
 mod handover;
 mod request;
 mod room;
@@ -28,17 +29,34 @@
 use clients::Clients;
 use config::Config;
 use door::Door;
+use fleet::Fleet;
 use std::net::SocketAddr;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
+/// Why a front door did not start, and the exit code that tells it.
+#[derive(Debug)]
+pub struct Stopped {
+    /// The exit code.
+    pub code: u8,
+    /// One plain line.
+    pub why: String,
+}
+
+impl From<String> for Stopped {
+    fn from(why: String) -> Stopped {
+        Stopped { code: 1, why }
+    }
+}
+
 /// Serves until a SIGTERM has been carried out.
-pub async fn run(woken: Woken) -> Result<(), String> {
+pub async fn run(woken: Woken) -> Result<(), Stopped> {
     let no_signals = |error| format!("no signals: {error}");
     // Before anything else: until they are caught, both end the process.
     let mut reload = signal(SignalKind::hangup()).map_err(no_signals)?;
     let mut stop = signal(SignalKind::terminate()).map_err(no_signals)?;
-    let config = Config::from_env().map_err(|error| error.to_string())?;
+    let config =
+        Config::from_env().map_err(|error| Stopped { code: error.code(), why: error.to_string() })?;
     let listen = config.listen;
     let listener = tokio::net::TcpListener::bind(listen)
         .await
@@ -47,12 +65,19 @@
     let door = Door::new(&config, woken)?;
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
+    let sockets = config.sockets();
     let agent = watch::Sender::new(config.discovery);
     let backoff = Backoff::new(door.site.settings.gateways, config.seed);
     tokio::task::spawn_local(discovery::follow(door.clone(), agent.subscribe(), config.known, backoff));
-    let clients = Clients::new(door.clone(), door.site.clone(), config.limits.sockets);
+    let clients = Clients::new(door.clone(), door.site.clone(), sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
+    let fleet = match config.fleet {
+        Some(block) => {
+            Some(Fleet::start(block, door.site.clock, door.site.settings.gateways, config.seed).await?)
+        }
+        None => None,
+    };
     eprintln!("{}: serving on {bound}", config.name);
     loop {
         tokio::select! {
@@ -61,6 +86,9 @@
         }
     }
     eprintln!("{}: stopping", config.name);
+    if let Some(fleet) = &fleet {
+        fleet.leave();
+    }
     clients.stop().await;
     Ok(())
 }
--- a/src/net/schedules.rs
+++ b/src/net/schedules.rs
@@ -114,6 +114,8 @@
         limits,
         known: None,
         handover: None,
+        fleet: None,
+        clock: crate::net::clock::Skew::default(),
         told,
     };
     let (clock, seen) = (Clock::new(), world.clone());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -33,3 +33,143 @@
     let count = |what: &str| events.iter().filter(|event| event.what == what).count();
     assert!(count("asked") >= 200 && count("ran") >= 100, "{} asked, {} ran", count("asked"), count("ran"));
 }
+
+/// Which of the others a process says are present.
+fn present(rig: &Rig, i: usize) -> Vec<String> {
+    let told = rig.told(i);
+    let names = told.as_ref().and_then(|event| event.more["members"]["present"].as_array());
+    names.into_iter().flatten().filter_map(|name| name.as_str().map(str::to_owned)).collect()
+}
+
+/// Waits until each of these says that just these are present.
+fn agree(rig: &mut Rig, these: &[usize], what: &str) {
+    let mut names: Vec<String> = these.iter().map(|i| cometspool_rig::rig::name(*i)).collect();
+    names.sort();
+    rig.wait(what, |rig| these.iter().all(|i| present(rig, *i) == names).then_some(()));
+}
+
+/// A counter of the way that a process tells.
+fn way(rig: &Rig, i: usize, name: &str) -> u64 {
+    rig.told(i).and_then(|event| event.more["way"][name].as_u64()).unwrap_or_default()
+}
+
+/// Guards membership on real processes: a start, a death, a pause past all limits, a planned stop, and a split that heals,
+/// under load; the ordinary path keeps its rules throughout.
+#[test]
+fn processes_find_lose_and_find_each_other() {
+    let mut rig = Rig::start(&Plan { processes: 6, ..Plan::default() }).expect("a rig");
+    let load = rig.load(Pace { per_s: 40.0, ..Pace::default() });
+    let all = [0, 1, 2, 3, 4, 5];
+    agree(&mut rig, &all, "six that know each other");
+    rig.processes[5].kill();
+    agree(&mut rig, &all[..5], "five that miss one");
+    rig.start_one(5).expect("a start");
+    agree(&mut rig, &all, "six again");
+    rig.processes[4].signal(Signal::SIGSTOP);
+    agree(&mut rig, &[0, 1, 2, 3, 5], "five without the one that stands still");
+    rig.processes[4].signal(Signal::SIGCONT);
+    agree(&mut rig, &all, "six after it woke");
+    rig.split(&[&[0, 1], &[2, 3], &[4, 5]]);
+    for third in [[0, 1], [2, 3], [4, 5]] {
+        agree(&mut rig, &third, "a third on its own");
+    }
+    rig.heal();
+    agree(&mut rig, &all, "six after the split");
+    rig.processes[0].signal(Signal::SIGTERM);
+    rig.processes[0].wait();
+    agree(&mut rig, &all[1..], "five after one left");
+    rig.settle(&load);
+    let events = rig.history.events();
+    assert_eq!(check::all(&events), []);
+    let saw = |by: &str, change: &str, member: &str| {
+        let seen = |event: &&cometspool_rig::history::Event| {
+            event.who == by
+                && event.what == "member"
+                && event.text("change") == change
+                && event.text("member") == member
+        };
+        events.iter().filter(seen).count()
+    };
+    for i in 1..6 {
+        let by = cometspool_rig::rig::name(i);
+        assert_eq!(
+            (saw(&by, "left", "n0"), saw(&by, "failed", "n0") > 1),
+            (1, false),
+            "{by}: leaving is no failure"
+        );
+    }
+    assert!(rig.acted()["lost"] > 100, "the split acted: {:?}", rig.acted());
+}
+
+/// Guards the way against what comes from outside, and against peers that are cut off in the middle: each is counted, ends
+/// its connection, and membership goes on.
+#[test]
+fn foreign_damaged_and_halved_frames_are_counted_and_end_their_connection() {
+    use std::io::{Read, Write};
+    let mut rig = Rig::start(&Plan { processes: 2, ..Plan::default() }).expect("a rig");
+    agree(&mut rig, &[0, 1], "two that know each other");
+    let at: std::net::SocketAddr =
+        rig.processes[0].config["fleet"]["listen"].as_str().unwrap().parse().unwrap();
+    let mut head = b"CS\0\x01\0\x01\0\0".to_vec();
+    head.extend([0; 16]);
+    let strangers: [(&str, Vec<u8>); 3] = [
+        ("mark", b"GET / HTTP/1.1\r\nHost: somebody\r\n\r\n".to_vec()),
+        ("fleet", head),
+        ("silent", b"CS".to_vec()),
+    ];
+    for (counter, bytes) in strangers {
+        let mut stream = std::net::TcpStream::connect(at).expect("a listener");
+        stream.write_all(&bytes).expect("room");
+        let mut rest = Vec::new();
+        // It is closed, or reset for what it has not read.
+        let _ = stream.read_to_end(&mut rest);
+        assert_eq!(rest, b"", "{counter}: a stranger is told nothing");
+        rig.wait(counter, |rig| (way(rig, 0, counter) >= 1).then_some(()));
+    }
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let before = way(&rig, 0, "mark");
+    socket.send_to(b"no frame", at).expect("sent");
+    rig.wait("a counted datagram", |rig| (way(rig, 0, "mark") > before).then_some(()));
+    // From now on one byte of each datagram is changed: checksums find all of them, and each takes the other for gone.
+    let damaged = cometspool_rig::link::Quality { damage: 1.0, ..Default::default() };
+    rig.between(&[0], &[1], &damaged);
+    rig.wait("damage found", |rig| (way(rig, 0, "checksum") + way(rig, 1, "checksum") >= 5).then_some(()));
+    agree(&mut rig, &[0], "one alone");
+    rig.heal();
+    agree(&mut rig, &[0, 1], "two again");
+}
+
+/// Guards the start: what is wrong in the block is told with its key, on one line, with exit code 2.
+#[test]
+fn a_bad_fleet_block_names_its_key() {
+    use cometspool_rig::hand::{settings, spawn};
+    use serde_json::json;
+    let good = json!({"name": "f", "listen": "127.0.0.1:9", "peers": []});
+    let cases = [
+        ("fleet.listen", json!({"listen": "nowhere"})),
+        ("fleet.listen", json!({"listen": "127.0.0.1:0"})),
+        ("fleet.peers[0].dial", json!({"peers": [{"name": "a", "dial": "x"}]})),
+        (
+            "fleet.peers[1].name",
+            json!({"peers": [{"name": "a", "dial": "127.0.0.1:1"}, {"name": "a", "dial": "127.0.0.1:2"}]}),
+        ),
+        ("fleet.links", json!({"links": 0})),
+        ("fleet.frame_bytes", json!({"frame_bytes": 1})),
+        ("fleet.zone", json!({"zone": "z".repeat(40)})),
+        ("fleet.accepted", json!({"accepted": 250})),
+        ("lnks", json!({"lnks": 3})),
+    ];
+    for (key, change) in cases {
+        let mut fleet = good.clone();
+        fleet.as_object_mut().unwrap().extend(change.as_object().unwrap().clone());
+        let config = json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+            "limits": {"sockets": 256}, "settings": settings(), "fleet": fleet,
+        });
+        let (child, _) = spawn(&config.to_string(), &[]);
+        let output = child.wait_with_output().expect("an exit");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{key}: {text}");
+        assert!(text.contains(key) && text.lines().count() == 1, "{key}: {text}");
+    }
+}
