Let the rig read, draw, play and cut down schedules, and tell what it costs itself

Faults were put in by hand, test by test. A schedule is TOML or drawn from a seed, prints itself where it breaks a rule, and is cut down to the fewest faults that still fail. cometspool-rig plays, draws, shrinks, checks a history, and measures itself. Three fixed schedules are played in the tests, each of which has to show that its faults acted.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod check;
+pub mod cost;
 pub mod ground;
 pub mod hand;
 pub mod history;
@@ -12,6 +13,7 @@
 pub mod load;
 pub mod process;
 pub mod rig;
+pub mod schedule;
 pub mod standins;
 
 pub use rig::{Plan, Rig};
--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -55,6 +55,27 @@
     pub bytes_per_s: Option<f64>,
 }
 
+impl Quality {
+    /// How a direction carries with both of these on it.
+    pub fn and(&self, other: &Quality) -> Quality {
+        let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
+        Quality {
+            cut: self.cut || other.cut,
+            refuse: self.refuse || other.refuse,
+            delay_ms: self.delay_ms + other.delay_ms,
+            spread_ms: self.spread_ms + other.spread_ms,
+            loss: either(self.loss, other.loss),
+            duplicate: either(self.duplicate, other.duplicate),
+            reorder: either(self.reorder, other.reorder),
+            damage: either(self.damage, other.damage),
+            bytes_per_s: match (self.bytes_per_s, other.bytes_per_s) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            },
+        }
+    }
+}
+
 /// What a direction of a link has done, so that a fault can be seen to have acted.
 #[derive(Debug, Default)]
 pub struct Acted {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -22,6 +22,8 @@
     pub folder: PathBuf,
     history: Arc<History>,
     running: Option<Running>,
+    /// It was told to end by itself.
+    told: bool,
     /// Cores that it may run on; any unless told.
     pub cores: Option<String>,
 }
@@ -36,7 +38,15 @@
     pub fn new(name: &str, folder: &Path, config: Value, history: Arc<History>) -> io::Result<Process> {
         let folder = folder.join(name);
         std::fs::create_dir_all(folder.join("data"))?;
-        Ok(Process { name: name.to_owned(), config, folder, history, running: None, cores: None })
+        Ok(Process {
+            name: name.to_owned(),
+            config,
+            folder,
+            history,
+            running: None,
+            told: false,
+            cores: None,
+        })
     }
 
     /// Where it keeps what is to outlive it.
@@ -78,8 +88,9 @@
     }
 
     /// Sends a signal; nothing happens if no process runs here.
-    pub fn signal(&self, signal: Signal) {
+    pub fn signal(&mut self, signal: Signal) {
         let Some(id) = self.id() else { return };
+        self.told |= signal == Signal::SIGTERM;
         self.history.note("rig", "signal", json!({"process": self.name, "signal": signal.as_str()}));
         // It may have ended by itself: whoever waits for it sees that.
         let _ = kill(Pid::from_raw(id as i32), signal);
@@ -102,6 +113,7 @@
     /// Waits for its end; the log is read to its last line then.
     pub fn wait(&mut self) -> Option<ExitStatus> {
         let Running { mut child, log } = self.running.take()?;
+        self.told = false;
         let status = child.wait().ok();
         // A log that panicked has said so.
         let _ = log.join();
@@ -113,6 +125,13 @@
         status
     }
 
+    /// Waits for its end if it was told to end.
+    pub fn wait_if_told(&mut self) {
+        if self.told {
+            self.wait();
+        }
+    }
+
     /// Whether it has ended by itself.
     pub fn crashed(&mut self) -> bool {
         let ended =
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -314,6 +314,24 @@
     }
 }
 
+/// Lets an interrupt end this program with nothing left behind: processes end with the thread that started them, and the
+/// folders of its rigs go here.
+pub fn end_on_interrupt() {
+    std::thread::spawn(|| {
+        let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
+        if runtime.block_on(tokio::signal::ctrl_c()).is_ok() {
+            let prefix = format!("{FOLDER}{}-", std::process::id());
+            for entry in std::fs::read_dir(std::env::temp_dir()).into_iter().flatten().flatten() {
+                if entry.file_name().to_string_lossy().starts_with(&prefix) {
+                    // What can't be removed is left to the next rig's sweep.
+                    let _ = std::fs::remove_dir_all(entry.path());
+                }
+            }
+            std::process::exit(130);
+        }
+    });
+}
+
 /// The name of process `i`.
 pub fn name(i: usize) -> String {
     format!("n{i}")
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -173,3 +173,53 @@
         assert!(text.contains(key) && text.lines().count() == 1, "{key}: {text}");
     }
 }
+
+/// Guards the rules under the fixed schedules, each of which has to act: what it says it does must show in its history.
+#[test]
+fn fixed_schedules_break_no_rule_and_their_faults_act() {
+    use cometspool_rig::schedule::{play, Schedule};
+    // What is to be found of each: in the counters of the links, or among the events.
+    let schedules: [(&str, &str, &[&str]); 3] = [
+        (
+            "thirds",
+            include_str!("schedules/thirds.toml"),
+            &["lost", "signal SIGKILL", "member failed", "member up"],
+        ),
+        (
+            "bad links",
+            include_str!("schedules/bad-links.toml"),
+            &["lost", "duplicated", "reordered", "damaged", "delayed", "ended", "reset", "halve", "refusals"],
+        ),
+        (
+            "clocks and stops",
+            include_str!("schedules/clocks-and-stops.toml"),
+            &[
+                "signal SIGSTOP",
+                "signal SIGCONT",
+                "signal SIGTERM",
+                "member left",
+                "wipe",
+                "backend",
+                "turned-away",
+            ],
+        ),
+    ];
+    for (name, text, acts) in schedules {
+        let schedule = Schedule::read(text).unwrap_or_else(|error| panic!("{name}: {error}"));
+        let outcome = play(&schedule, None, None).expect("a rig");
+        assert_eq!(outcome.violations, [], "{name}");
+        let seen = |act: &&str| {
+            let of =
+                |map: &std::collections::BTreeMap<String, u64>| map.get(*act).copied().unwrap_or_default();
+            of(&outcome.acted) + of(&outcome.counted)
+        };
+        for act in acts {
+            assert!(
+                seen(act) > 0,
+                "{name}: {act} was not seen in {:?} and {:?}",
+                outcome.acted,
+                outcome.counted
+            );
+        }
+    }
+}
