Take nobody for dead who answers, compare soon after news, and tell loads

Followed: no term ever ended in a death; the members came back under new numbers because the library, when a term is over that its member has refuted, still tells the member that it is dead.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{btree_map, BTreeMap, BinaryHeap};
 use std::hash::{Hash, Hasher};
 use std::num::{NonZeroU32, NonZeroUsize};
 use std::sync::Arc;
@@ -71,6 +71,11 @@
         }
     }
 
+    /// When news has most likely reached all: ten rounds of gossip, each of which trebles those who know.
+    fn settled_news(&self) -> f64 {
+        10.0 * self.gossip
+    }
+
     fn foca(&self, size: u32) -> foca::Config {
         let ms = |ms: f64| Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::from_secs(1));
         let some = |count: usize| NonZeroUsize::new(count).unwrap_or(NonZeroUsize::MIN);
@@ -182,9 +187,20 @@
 enum Due {
     Foca(Timer<Member>),
     Heal,
-    Compare,
-    /// Ask a member that is doubted once more.
-    Ask(Member),
+    /// A comparison, unless a sooner one was set since.
+    Compare(u64),
+    /// Ask a member that is doubted in this incarnation once more.
+    Ask(Member, u16),
+}
+
+/// What a member is doubted for: its name, its number, and the incarnation in which it did not answer.
+type Ground = (Arc<str>, u64, u16);
+
+/// A member's term to defend itself.
+#[derive(Debug, Default)]
+struct Doubt {
+    /// It has answered since it was doubted.
+    answered: bool,
 }
 
 /// A member of the fleet.
@@ -204,17 +220,20 @@
     /// When last something happened, ms of the caller's clock, and what of the time since the start this process was awake.
     last: f64,
     awake: f64,
-    doubt: u32,
+    self_doubt: u32,
     /// A probe is out, and whether anything at all was heard since.
     probing: bool,
     heard: bool,
     /// Those whom this process doubts, and whether they have answered since.
-    doubted: BTreeMap<Arc<str>, bool>,
+    doubted: BTreeMap<Ground, Doubt>,
     /// Until when, awake, it may take its name from one that seems alive.
     settles: f64,
     taken_name: bool,
     gone: bool,
     sequence: u32,
+    /// Between two comparisons now, ms, and which of those that were set counts.
+    calm: f64,
+    round: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -273,6 +292,7 @@
     /// A process that starts at `now` (ms of a steady clock) in a fleet of about `size`, and was told where others may
     /// be. `seed` is its only source of chance.
     pub fn new(now: f64, own: Member, told: Vec<Member>, times: Times, size: u32, seed: u64) -> Membership {
+        let soon = times.settled_news();
         let (mut chance, loads) = (StdRng::seed_from_u64(seed), Loads::default());
         let foca = Foca::with_custom_broadcast(
             own.clone(),
@@ -297,18 +317,19 @@
             timers_set: 0,
             last: now,
             awake: 0.0,
-            doubt: 0,
+            self_doubt: 0,
             probing: false,
             heard: false,
             doubted: BTreeMap::new(),
             taken_name: false,
             gone: false,
             sequence: 0,
+            calm: soon,
+            round: 0,
         };
         // The first look round is at once; of many that start together each draws whom it asks.
         membership.set(0.0, Due::Heal);
-        let first = membership.spread(membership.times.compare);
-        membership.set(first, Due::Compare);
+        membership.set_compare();
         membership
     }
 
@@ -328,8 +349,8 @@
     }
 
     /// How far it doubts itself: times are this and one times as long.
-    pub fn doubt(&self) -> u32 {
-        self.doubt
+    pub fn self_doubt(&self) -> u32 {
+        self.self_doubt
     }
 
     /// Whether it takes part no more: it left, or its name is another's.
@@ -355,7 +376,7 @@
         let late = now - due;
         if late > self.times.tolerance {
             self.counts.held_up += 1;
-            self.doubt = (self.doubt + 2).min(MOST_DOUBT);
+            self.self_doubt = (self.self_doubt + 2).min(MOST_DOUBT);
             self.awake += due - self.last;
         } else {
             self.awake += (now - self.last).max(0.0);
@@ -369,6 +390,12 @@
         self.dues.insert(self.timers_set, due);
     }
 
+    fn set_compare(&mut self) {
+        self.round += 1;
+        let next = self.spread(self.calm);
+        self.set(next, Due::Compare(self.round));
+    }
+
     /// Evenly between a half and one and a half of it: a fleet that starts together does not stay in step.
     fn spread(&mut self, time: f64) -> f64 {
         time * self.chance.random_range(0.5..1.5)
@@ -392,24 +419,27 @@
                     if matches!(timer, Timer::ProbeRandomMember(_)) {
                         if self.probing && !self.heard {
                             // Nobody at all was heard: that is more likely this process than all the others.
-                            self.doubt = (self.doubt + 1).min(MOST_DOUBT);
+                            self.self_doubt = (self.self_doubt + 1).min(MOST_DOUBT);
                         }
                         (self.probing, self.heard) = (true, false);
                     }
-                    if !self.reprieve(&timer) {
+                    if !self.reprieve(&timer, &mut effects) {
                         self.run(&mut effects, |foca, wants| foca.handle_timer(timer, wants));
                     }
                 }
-                Due::Ask(member) => {
-                    if self.doubted.get(&member.name) == Some(&false) {
+                Due::Ask(member, incarnation) => {
+                    let ground = (member.name.clone(), member.number, incarnation);
+                    let unanswered = self.doubted.get(&ground).is_some_and(|doubt| !doubt.answered);
+                    if unanswered && self.suspects(&member, incarnation) {
                         self.run(&mut effects, |foca, wants| foca.announce(member.clone(), wants));
-                        self.set(self.times.round_trip, Due::Ask(member));
+                        self.set(self.times.round_trip, Due::Ask(member, incarnation));
                     }
                 }
                 Due::Heal => self.heal(&mut effects),
-                Due::Compare => {
-                    let next = self.spread(self.times.compare);
-                    self.set(next, Due::Compare);
+                Due::Compare(round) if round != self.round => {}
+                Due::Compare(_) => {
+                    self.calm = (self.calm * 2.0).min(self.times.compare);
+                    self.set_compare();
                     let own = self.own().name.clone();
                     let others = self.view.present.values().filter(|member| member.name != own);
                     if let Some(with) = others.choose(&mut self.chance).cloned() {
@@ -424,30 +454,46 @@
         effects
     }
 
-    /// Whether a member whose time to defend itself is over gets it once more: it answered meanwhile, so it is there, and
-    /// its word that it is has yet to come. Only an answer counts: one that is heard but hears nothing is of no use.
-    fn reprieve(&mut self, timer: &Timer<Member>) -> bool {
+    /// Whether a member is spared when its time to defend itself is over. One that answered meanwhile is there, and its word that it is has yet
+    /// to come: it gets another term, and is told what is said of it, as that may have missed it. Only an answer counts: one that is heard but hears nothing is of no use.
+    fn reprieve(&mut self, timer: &Timer<Member>, effects: &mut Vec<Effect>) -> bool {
         let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
-        if self.doubted.remove(&member_id.name) != Some(true) {
-            return false;
+        let ground = (member_id.name.clone(), member_id.number, *incarnation);
+        let answered = self.doubted.remove(&ground).is_some_and(|doubt| doubt.answered);
+        if !self.suspects(member_id, *incarnation) {
+            // It has defended itself. The protocol's library would find the term stale, and tell the member all the same that
+            // it is dead (it asks only whether the member is known): it would come back under a new number for nothing.
+            return true;
         }
-        let doubted = |known: &foca::Member<Member>| {
-            known.id() == member_id
-                && known.state() == foca::State::Suspect
-                && known.incarnation() == *incarnation
-        };
-        let still = self.foca.iter_members().any(doubted);
-        if still {
-            self.doubt_member(member_id.clone());
-            self.set(self.times.suspicion, Due::Foca(timer.clone()));
+        if answered {
+            self.doubt(timer.clone(), self.times.suspicion);
+            let said =
+                Entry { member: member_id.clone(), incarnation: *incarnation, standing: Standing::Suspect };
+            let bytes = self.compared(&Compared::All(vec![said], false));
+            effects.push(Effect::Compare { with: member_id.clone(), bytes });
         }
-        still
+        answered
     }
 
-    /// Asks a member that is doubted until it answers.
-    fn doubt_member(&mut self, member: Member) {
-        self.doubted.insert(member.name.clone(), false);
-        self.set(0.0, Due::Ask(member));
+    fn suspects(&self, member: &Member, incarnation: u16) -> bool {
+        self.foca.iter_members().any(|known| {
+            known.id() == member
+                && known.state() == foca::State::Suspect
+                && known.incarnation() == incarnation
+        })
+    }
+
+    /// Gives a member that is doubted time, and asks it until it answers. One that is doubted again for the same reason has its
+    /// term already.
+    fn doubt(&mut self, timer: Timer<Member>, term: f64) {
+        let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer else { return };
+        let (member, incarnation) = (member_id.clone(), *incarnation);
+        match self.doubted.entry((member.name.clone(), member.number, incarnation)) {
+            btree_map::Entry::Occupied(_) => return,
+            btree_map::Entry::Vacant(vacant) => drop(vacant.insert(Doubt::default())),
+        }
+        self.set(0.0, Due::Ask(member, incarnation));
+        self.set(term, Due::Foca(timer));
     }
 
     /// Looks for somebody who should be there: told, or failed of late.
@@ -490,12 +536,11 @@
         self.heard = true;
         if matches!(header.message, Message::Ack(_) | Message::ForwardedAck { .. }) && self.probing {
             self.probing = false;
-            self.doubt = self.doubt.saturating_sub(1);
+            self.self_doubt = self.self_doubt.saturating_sub(1);
         }
         if header.message == Message::Feed {
-            if let Some(answered) = self.doubted.get_mut(&header.src.name) {
-                *answered = true;
-            }
+            let of_it = self.doubted.iter_mut().filter(|((name, ..), _)| *name == header.src.name);
+            of_it.for_each(|(_, doubt)| doubt.answered = true);
         }
         let own = self.own().clone();
         if header.src.name == own.name && header.src.life != own.life {
@@ -518,7 +563,7 @@
             entries.filter(|entry| entry.member.name == own.name).max_by_key(|entry| entry.member.number);
         let Some(other) = other else { return };
         if other.member.number == own.number && other.standing == Standing::Suspect {
-            self.doubt = (self.doubt + 1).min(MOST_DOUBT);
+            self.self_doubt = (self.self_doubt + 1).min(MOST_DOUBT);
         }
         let same = other.member.life == own.life;
         if other.member.number <= own.number && (same || other.member.number < own.number) {
@@ -652,17 +697,18 @@
             effects.push(Effect::Send { to, bytes });
         }
         for (timer, after) in wants.timers {
-            if let Timer::ChangeSuspectToDown { member_id, .. } = &timer {
-                self.doubt_member(member_id.clone());
-            }
             // Who doubts itself gives others more time.
             let stretched = match timer {
                 Timer::ProbeRandomMember(_)
                 | Timer::SendIndirectProbe { .. }
-                | Timer::ChangeSuspectToDown { .. } => f64::from(1 + self.doubt),
+                | Timer::ChangeSuspectToDown { .. } => f64::from(1 + self.self_doubt),
                 _ => 1.0,
             };
-            self.set(after.as_secs_f64() * 1000.0 * stretched, Due::Foca(timer));
+            let after = after.as_secs_f64() * 1000.0 * stretched;
+            match timer {
+                Timer::ChangeSuspectToDown { .. } => self.doubt(timer, after),
+                timer => self.set(after, Due::Foca(timer)),
+            }
         }
         for note in wants.notes {
             self.note(note, effects);
@@ -687,7 +733,7 @@
                 _ => return,
             },
             Note::Down(member) => {
-                self.doubted.remove(&member.name);
+                self.doubted.retain(|(name, ..), _| *name != member.name);
                 if self.view.present.remove(&member.name).is_none() {
                     return;
                 }
@@ -707,6 +753,12 @@
         };
         self.view.revision += 1;
         effects.push(Effect::Changed(change));
+        // News may have missed this process: once it had time to reach all, what others know is compared soon.
+        let soon = self.times.settled_news();
+        if self.calm > soon {
+            self.calm = soon;
+            self.set_compare();
+        }
     }
 }
 
--- a/crates/membership/tests/cases.rs
+++ b/crates/membership/tests/cases.rs
@@ -60,7 +60,7 @@
     sim.run_to(begun + 5.0 * MINUTE);
     let wrong = failures(&sim, begun);
     agree(&mut sim, &all, 2.0 * MINUTE, "under bad links");
-    assert!(wrong <= 30 * 30 / 10, "{wrong} sightings of a failure where nobody failed");
+    assert_eq!(wrong, 0, "sightings of a failure where nobody failed");
     assert!(sim.damaged > 1000, "only {} were damaged", sim.damaged);
     sim.kill(7);
     agree(&mut sim, &(0..30).filter(|seat| *seat != 7).collect::<Vec<_>>(), 2.0 * MINUTE, "after a death");
@@ -170,13 +170,16 @@
     agree(&mut sim, &[0, 1, 2, 3], MINUTE, "with odd lists");
 }
 
-/// Guards loads: they reach all, and the last word counts.
+/// Guards loads: told again and again, as a front door does, they reach all, and the last word counts, also where an
+/// earlier one comes later.
 #[test]
 fn loads_reach_all_and_the_last_word_counts() {
     let mut sim = settled(10, 9, Network { delay: (1.0, 2000.0), ..Network::default() }, 9);
     sim.tell_load(2, 100);
-    sim.tell_load(2, 700);
-    sim.run_to(sim.now + MINUTE);
+    for _ in 0..10 {
+        sim.tell_load(2, 700);
+        sim.run_to(sim.now + 10_000.0);
+    }
     let known = |seat: usize| sim.member(seat).and_then(|member| member.load_of("n2"));
     assert!((0..10).all(|seat| known(seat) == Some(700)), "{:?}", (0..10).map(known).collect::<Vec<_>>());
 }
--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/hints.rs
@@ -154,6 +154,11 @@
         );
     }
 
+    /// Lets the others know how busy this one is.
+    pub fn tell_load(&self, load: u16) {
+        self.membership.borrow_mut().tell_load(load);
+    }
+
     /// Tells the others that this one goes.
     pub fn leave(&self) {
         let effects = self.membership.borrow_mut().leave(self.clock.now());
@@ -166,8 +171,10 @@
         let view = membership.view();
         json!({
             "present": view.present.keys().map(|name| &**name).collect::<Vec<_>>(),
+            "loads": view.present.keys().filter_map(|name| Some((name.to_string(), membership.load_of(name)?)))
+                .collect::<BTreeMap<_, _>>(),
             "failed": view.failed.keys().map(|name| &**name).collect::<Vec<_>>(),
-            "revision": view.revision, "reachable": view.reachable(), "doubt": membership.doubt(),
+            "revision": view.revision, "reachable": view.reachable(), "doubt": membership.self_doubt(),
             "gone": membership.gone(), "number": membership.own().number, "counts": membership.counts(),
         })
     }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -29,12 +29,19 @@
     block: Block,
     way: Rc<Way>,
     hints: Option<Rc<Hints>>,
+    load: Box<dyn Fn() -> u16>,
 }
 
 impl Fleet {
     /// Listens for the others and begins to look for them. `told` is the fleet's size by the settings; `seed` is new with
-    /// each start.
-    pub async fn start(block: Block, clock: Clock, told: u32, seed: u64) -> Result<Rc<Fleet>, String> {
+    /// each start; `load` tells how busy it is, in parts of a thousand.
+    pub async fn start(
+        block: Block,
+        clock: Clock,
+        told: u32,
+        seed: u64,
+        load: Box<dyn Fn() -> u16>,
+    ) -> Result<Rc<Fleet>, String> {
         let no_listener = |error| format!("fleet.listen: {}: {error}", block.listen);
         let listener = TcpListener::bind(block.listen).await.map_err(no_listener)?;
         let socket = UdpSocket::bind(block.listen).await.map_err(no_listener)?;
@@ -43,7 +50,7 @@
         let way = Way::new(block.clone(), life);
         let hints =
             block.membership.then(|| Hints::new(&block, socket, way.clone(), clock, told, life, seed));
-        let fleet = Rc::new(Fleet { block, way: way.clone(), hints });
+        let fleet = Rc::new(Fleet { block, way: way.clone(), hints, load });
         let takes = fleet.clone();
         way.take(Rc::new(move |from, frame| {
             if let (Some(hints), Some(Kind::Compare)) = (&takes.hints, frame.kind) {
@@ -62,6 +69,9 @@
     async fn tell(self: Rc<Self>) {
         loop {
             tokio::time::sleep(Duration::from_millis(self.block.tell_ms)).await;
+            if let Some(hints) = &self.hints {
+                hints.tell_load((self.load)());
+            }
             say("fleet", &self.block.own, self.status());
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,7 +26,7 @@
 
 use backoff::Backoff;
 use budget::Woken;
-use clients::Clients;
+use clients::{Clients, Desk};
 use config::Config;
 use door::Door;
 use fleet::Fleet;
@@ -74,7 +74,10 @@
     tokio::task::spawn_local(clients.clone().sweep());
     let fleet = match config.fleet {
         Some(block) => {
-            Some(Fleet::start(block, door.site.clock, door.site.settings.gateways, config.seed).await?)
+            let (desk, most) = (door.clone(), room::client_budget(sockets).max(1));
+            let load = move || (desk.unanswered() * 1000 / most).min(1000) as u16;
+            let site = &door.site;
+            Some(Fleet::start(block, site.clock, site.settings.gateways, config.seed, Box::new(load)).await?)
         }
         None => None,
     };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -61,6 +61,12 @@
     let load = rig.load(Pace { per_s: 40.0, ..Pace::default() });
     let all = [0, 1, 2, 3, 4, 5];
     agree(&mut rig, &all, "six that know each other");
+    rig.wait("the loads of all at each", |rig| {
+        let known = |i| {
+            rig.told(i).and_then(|event| event.more["members"]["loads"].as_object().map(|loads| loads.len()))
+        };
+        all.iter().all(|i| known(*i) == Some(6)).then_some(())
+    });
     rig.processes[5].kill();
     agree(&mut rig, &all[..5], "five that miss one");
     rig.start_one(5).expect("a start");
