Lose no frame where two front doors dial each other, and pace by the fleet's live size

Seen in a test of the way: of two that dialled each other at once, one lost a frame, since the link that gave way was closed with what the other side had just written unread. A link that gives way now ends its writing between two frames and is read until its peer ends too. The way is held against peers played by hand: one that never reads, one that dribbles, greetings for somebody else, the next version, too many. With "pace" in the fleet block, off by default, calls for the list follow the number of front doors present or failed of late, and dials too, never for fewer than the settings tell.

--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -7,6 +7,8 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Longest pause where nothing says that the service has too much to do, and the shortest window where it does.
@@ -21,8 +23,7 @@
 
 /// Pauses between calls to a service that other front doors call too.
 pub struct Backoff {
-    first: Duration,
-    most: Duration,
+    gateways: Rc<Cell<u32>>,
     turned_away: u32,
     rng: Pcg32,
 }
@@ -30,9 +31,12 @@
 impl Backoff {
     /// For one of `gateways` front doors; `seed` is its only source of chance.
     pub fn new(gateways: u32, seed: u64) -> Backoff {
-        let first = FIRST_PER_GATEWAY.saturating_mul(gateways).max(SOON);
-        let most = MOST_PER_GATEWAY.saturating_mul(gateways).max(first);
-        Backoff { first, most, turned_away: 0, rng: Pcg32::seed_from_u64(seed) }
+        Backoff { gateways: Rc::new(Cell::new(gateways)), turned_away: 0, rng: Pcg32::seed_from_u64(seed) }
+    }
+
+    /// How many front doors it reckons with: whoever learns better may change it.
+    pub fn gateways(&self) -> Rc<Cell<u32>> {
+        self.gateways.clone()
     }
 
     /// The pause after a call or a connection that was lost. It is short: what the service has to tell counts as
@@ -43,7 +47,7 @@
 
     /// The pause after a call that was turned away for too many others.
     pub fn turned_away(&mut self) -> Duration {
-        let window = self.first.saturating_mul(1 << self.turned_away.min(16)).min(self.most);
+        let window = self.first().saturating_mul(1 << self.turned_away.min(16)).min(self.most());
         self.turned_away = self.turned_away.saturating_add(1);
         self.draw(window)
     }
@@ -53,6 +57,14 @@
         self.turned_away = 0;
     }
 
+    fn first(&self) -> Duration {
+        FIRST_PER_GATEWAY.saturating_mul(self.gateways.get()).max(SOON)
+    }
+
+    fn most(&self) -> Duration {
+        MOST_PER_GATEWAY.saturating_mul(self.gateways.get()).max(self.first())
+    }
+
     fn draw(&mut self, window: Duration) -> Duration {
         let least = window / LEAST_PART;
         least + (window - least).mul_f64(f64::from(self.rng.next_u32()) / 4_294_967_296.0)
@@ -105,9 +117,19 @@
     fn the_pause_is_bounded_and_short_again_after_an_answer() {
         let mut backoff = Backoff::new(100, 3);
         let pauses: Vec<Duration> = (0..100).map(|_| backoff.turned_away()).collect();
-        assert!(pauses.iter().all(|pause| *pause > Duration::ZERO && *pause <= backoff.most));
-        assert!(pauses.iter().any(|pause| *pause > backoff.first));
+        assert!(pauses.iter().all(|pause| *pause > Duration::ZERO && *pause <= backoff.most()));
+        assert!(pauses.iter().any(|pause| *pause > backoff.first()));
         backoff.answered();
-        assert!(backoff.turned_away() <= backoff.first);
+        assert!(backoff.turned_away() <= backoff.first());
+    }
+
+    /// Guards a pace that follows the fleet's size: as if it had been told that size from the start.
+    #[test]
+    fn windows_follow_the_size_that_is_learnt() {
+        let (mut told, mut learnt) = (Backoff::new(300, 9), Backoff::new(3, 9));
+        learnt.gateways().set(300);
+        for _ in 0..6 {
+            assert_eq!(told.turned_away(), learnt.turned_away());
+        }
     }
 }
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -443,6 +443,11 @@
         Some(self.entry(state, &removed))
     }
 
+    /// Paces dials for a fleet of so many front doors: never for fewer than the settings tell, as cold backends hang on it.
+    pub fn fleet_of(&self, doors: u32) {
+        self.pools.fleet_of(doors.max(self.site.settings.gateways));
+    }
+
     /// Disposes of idle connections before backends do, for as long as the front door runs.
     pub async fn tidy(self: Rc<Self>) {
         self.pools.tidy().await;
--- a/src/net/fleet/block.rs
+++ b/src/net/fleet/block.rs
@@ -14,6 +14,16 @@
     dial: String,
 }
 
+/// What is paced by how many front doors seem present.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Pace {
+    /// Calls for the list of backends that were turned away.
+    pub discovery: bool,
+    /// Dials to backends; never for fewer front doors than the settings tell.
+    pub dials: bool,
+}
+
 /// The block as it stands.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -28,6 +38,8 @@
     zone: String,
     #[serde(default = "yes")]
     membership: bool,
+    #[serde(default)]
+    pace: Pace,
     #[serde(default = "links")]
     links: usize,
     #[serde(default = "accepted")]
@@ -93,6 +105,8 @@
     pub zone: String,
     /// Whether membership runs.
     pub membership: bool,
+    /// What is paced by it.
+    pub pace: Pace,
     /// Connections that are dialled and kept at most.
     pub links: usize,
     /// Connections that are accepted at most.
@@ -165,6 +179,7 @@
             peers,
             zone: self.zone,
             membership: self.membership,
+            pace: self.pace,
             links: within("links", self.links as u64, 1, 256)? as usize,
             accepted: within("accepted", self.accepted as u64, 1, 4096)? as usize,
             frame_bytes: within("frame_bytes", self.frame_bytes as u64, 4096, 16 << 20)? as usize,
--- a/src/net/fleet/frame.rs
+++ b/src/net/fleet/frame.rs
@@ -102,7 +102,7 @@
         self.sealed(VERSION, kind as u16, body)
     }
 
-    fn sealed(&self, version: u16, kind: u16, body: &[u8]) -> Option<Bytes> {
+    pub(super) fn sealed(&self, version: u16, kind: u16, body: &[u8]) -> Option<Bytes> {
         let length = u32::try_from(body.len()).ok().filter(|_| body.len() <= self.greatest)?;
         let mut bytes = BytesMut::with_capacity(HEAD + body.len());
         bytes.put_slice(b"CS");
--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/hints.rs
@@ -19,6 +19,17 @@
 /// Longest datagram that is read; a longer one is no frame.
 const LONGEST: usize = 2048;
 
+/// What is new with each start.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// Front doors that the settings tell.
+    pub told: u32,
+    /// Drawn: tells this process from all others under its name.
+    pub life: u64,
+    /// For chance.
+    pub seed: u64,
+}
+
 /// Who seems present, as far as sockets tell.
 pub struct Hints {
     membership: RefCell<Membership>,
@@ -28,19 +39,21 @@
     clock: Clock,
     own: String,
     changed: Notify,
+    /// Told how many front doors the fleet seems to have.
+    sized: Box<dyn Fn(u32)>,
 }
 
 impl Hints {
-    /// Begins to look for the others. `life` was drawn at this start, and `seed` is for chance.
+    /// Begins to look for the others.
     pub fn new(
         block: &Block,
         socket: UdpSocket,
         way: Rc<Way>,
         clock: Clock,
-        size: u32,
-        life: u64,
-        seed: u64,
+        start: Start,
+        sized: Box<dyn Fn(u32)>,
     ) -> Rc<Hints> {
+        let Start { told, life, seed } = start;
         let own = Member {
             // Later than any before under this name, if the clock is right; if not, the others tell.
             number: clock.now().max(1.0) as u64,
@@ -49,9 +62,9 @@
             version: super::frame::VERSION,
             ..Member::unknown(&block.own, block.advertise)
         };
-        let told = block.peers.iter().map(|(name, dial)| Member::unknown(name, *dial)).collect();
-        let size = size.max(block.peers.len() as u32 + 1);
-        let membership = Membership::new(clock.now(), own, told, Times::of(size), size, seed);
+        let peers = block.peers.iter().map(|(name, dial)| Member::unknown(name, *dial)).collect();
+        let size = told.max(block.peers.len() as u32 + 1);
+        let membership = Membership::new(clock.now(), own, peers, Times::of(size), size, seed);
         Rc::new(Hints {
             membership: RefCell::new(membership),
             socket,
@@ -60,6 +73,7 @@
             clock,
             own: block.own.clone(),
             changed: Notify::new(),
+            sized,
         })
     }
 
@@ -134,7 +148,13 @@
                     // No room is counted by the way, and the next comparison comes anyhow.
                     let _ = self.way.send(&with.name, with.address, Lane::Hints, Kind::Compare, &bytes);
                 }
-                Effect::Changed(change) => self.tell(&change),
+                Effect::Changed(change) => {
+                    self.tell(&change);
+                    let membership = self.membership.borrow();
+                    let view = membership.view();
+                    // Whoever failed of late may live on the other side of a cut, and do all that this one does.
+                    (self.sized)((view.present.len() + view.failed.len()) as u32);
+                }
             }
         }
     }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -10,7 +10,7 @@
 use super::clock::Clock;
 use block::Block;
 use frame::Kind;
-use hints::Hints;
+use hints::{Hints, Start};
 use serde_json::{json, Value};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,22 +34,24 @@
 
 impl Fleet {
     /// Listens for the others and begins to look for them. `told` is the fleet's size by the settings; `seed` is new with
-    /// each start; `load` tells how busy it is, in parts of a thousand.
+    /// each start; `load` tells how busy it is, in parts of a thousand; `sized` is told how
+    /// many front doors there seem to be.
     pub async fn start(
         block: Block,
         clock: Clock,
         told: u32,
         seed: u64,
         load: Box<dyn Fn() -> u16>,
+        sized: Box<dyn Fn(u32)>,
     ) -> Result<Rc<Fleet>, String> {
         let no_listener = |error| format!("fleet.listen: {}: {error}", block.listen);
         let listener = TcpListener::bind(block.listen).await.map_err(no_listener)?;
         let socket = UdpSocket::bind(block.listen).await.map_err(no_listener)?;
         // A start draws its life from its seed and from when it was: no two starts share both.
         let life = seed.rotate_left(32) ^ clock.now().to_bits();
+        let start = Start { told, life, seed };
         let way = Way::new(block.clone(), life);
-        let hints =
-            block.membership.then(|| Hints::new(&block, socket, way.clone(), clock, told, life, seed));
+        let hints = block.membership.then(|| Hints::new(&block, socket, way.clone(), clock, start, sized));
         let fleet = Rc::new(Fleet { block, way: way.clone(), hints, load });
         let takes = fleet.clone();
         way.take(Rc::new(move |from, frame| {
--- /dev/null
+++ b/src/net/fleet/peers.rs
@@ -0,0 +1,153 @@
+//! The way against peers that a test plays by hand, on loopback.
+
+use super::super::block::Raw;
+use super::super::frame::VERSION;
+use super::*;
+use serde_json::json;
+use std::future::Future;
+use tokio::io::AsyncReadExt;
+
+/// A wide limit for what has to come about.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A way called `own` with quick beats, small queues and few links, and what came on it.
+async fn way(
+    own: &str,
+    peers: &[(&str, SocketAddr)],
+) -> (Rc<Way>, SocketAddr, Rc<RefCell<Vec<(String, usize)>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let peers: Vec<_> =
+        peers.iter().map(|(name, dial)| json!({"name": name, "dial": dial.to_string()})).collect();
+    let raw = json!({
+        "name": "f", "listen": at.to_string(), "peers": peers, "links": 2, "accepted": 3, "beat_ms": 50,
+        "queue_bytes": 600_000, "hello_ms": 500,
+    });
+    let block = serde_json::from_value::<Raw>(raw).expect("a block").check(own).expect("a sound block");
+    let way = Way::new(block, u64::from(own.as_bytes()[0]));
+    let came: Rc<RefCell<Vec<(String, usize)>>> = Rc::default();
+    let taken = came.clone();
+    way.take(Rc::new(move |from, frame| taken.borrow_mut().push((from.to_owned(), frame.body().len()))));
+    tokio::task::spawn_local(way.clone().accept(listener));
+    (way, at, came)
+}
+
+fn played(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "{what} was due");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A peer played by hand that greets as it should.
+async fn greet(at: SocketAddr, seal: Seal, name: &str, to: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(at).await.expect("a listener");
+    let hello = Hello { name: name.to_owned(), to: to.to_owned(), life: 9 };
+    stream.write_all(&seal.frame(Kind::Hello, &body(&hello)).expect("it fits")).await.expect("room");
+    stream
+}
+
+/// Guards the others' time and this one's memory: a peer that never reads fills its own outbox and no more, loses its link,
+/// and holds up nobody; one that dribbles and one that says nothing lose theirs.
+#[test]
+fn a_peer_that_does_not_read_or_dribbles_costs_only_its_own_link() {
+    played(async {
+        let (other, other_at, came) = way("b", &[]).await;
+        let (here, at, _) = way("a", &[("b", other_at)]).await;
+        let _never_reads = greet(at, here.seal, "n", "a").await;
+        until("its link", || here.links() == (0, 1)).await;
+        let big = vec![0; 100_000];
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut refused = 0;
+        for _ in 0..100 {
+            refused += u32::from(here.send("n", nowhere, Lane::Copies, Kind::Compare, &big).is_err());
+            assert_eq!(here.send("b", nowhere, Lane::Copies, Kind::Compare, b"small"), Ok(()));
+            tokio::task::yield_now().await;
+        }
+        assert!(refused > 0, "no limit was met");
+        until("what the other was sent", || came.borrow().len() == 100).await;
+        until("the end of the link that does not move", || here.counts.borrow().silent >= 1).await;
+
+        let mut dribbles = greet(at, here.seal, "d", "a").await;
+        let frame = here.seal.frame(Kind::Compare, &[0; 1000]).expect("it fits");
+        let before = here.counts.borrow().silent;
+        for byte in frame.iter() {
+            // It writes for as long as it may; what it writes is never a whole frame in time.
+            if dribbles.write_all(&[*byte]).await.is_err() {
+                break;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        until("the end of the one that dribbles", || here.counts.borrow().silent > before).await;
+        assert!(!came.borrow().iter().any(|(from, _)| from == "d"));
+        assert_eq!(other.links().1, 1, "the one that reads keeps its link");
+    });
+}
+
+/// Guards who is greeted, and versions side by side: a greeting for or from somebody else gives no link; one of the next
+/// version does, and its frames of an unknown kind are passed over.
+#[test]
+fn only_the_one_that_was_meant_is_linked_and_the_next_version_is() {
+    played(async {
+        let (other, other_at, _) = way("b", &[]).await;
+        // The address of `x` is now that of `b`.
+        let (here, at, came) = way("a", &[("x", other_at)]).await;
+        assert_eq!(here.send("x", other_at, Lane::Hints, Kind::Compare, b"for x"), Ok(()));
+        until("a greeting for somebody else", || other.counts.borrow().wrong_name >= 1).await;
+        assert_eq!((here.links(), other.links()), ((0, 0), (0, 0)));
+
+        let mut next = TcpStream::connect(at).await.expect("a listener");
+        let mut hello = body(&Hello { name: "n".to_owned(), to: "a".to_owned(), life: 9 });
+        hello.extend(body(&("a field that is new", 77u32)));
+        for (kind, content) in
+            [(Kind::Hello as u16, &hello[..]), (999, b"?"), (Kind::Compare as u16, b"good")]
+        {
+            let frame = here.seal.sealed(VERSION + 1, kind, content).expect("it fits");
+            next.write_all(&frame).await.expect("room");
+        }
+        until("its frame", || came.borrow().iter().any(|(from, length)| from == "n" && *length == 4)).await;
+        assert_eq!(here.counts.borrow().unknown, 1);
+    });
+}
+
+/// Guards the count of links: no more are dialled or accepted than the block allows, the one least lately needed leaves, and
+/// two that dial each other keep one.
+#[test]
+fn links_stay_within_their_bounds_and_two_keep_one() {
+    played(async {
+        let (b, b_at, came_b) = way("b", &[]).await;
+        let (_c, c_at, came_c) = way("c", &[]).await;
+        let (_d, d_at, came_d) = way("d", &[]).await;
+        let (here, at, came) = way("a", &[]).await;
+        for (name, to, came) in [("b", b_at, &came_b), ("c", c_at, &came_c), ("d", d_at, &came_d)] {
+            assert_eq!(here.send(name, to, Lane::Hints, Kind::Compare, b"hello"), Ok(()));
+            until("a frame", || !came.borrow().is_empty()).await;
+            assert!(here.links().0 <= 2);
+        }
+        until("the oldest to leave", || b.links() == (0, 0)).await;
+        // Both at once: whichever comes up first, one is left, and both ways carry.
+        assert_eq!(here.send("b", b_at, Lane::Hints, Kind::Compare, b"1"), Ok(()));
+        assert_eq!(b.send("a", at, Lane::Hints, Kind::Compare, b"2"), Ok(()));
+        until("both frames", || {
+            came.borrow().iter().any(|(from, _)| from == "b") && came_b.borrow().len() == 2
+        })
+        .await;
+        until("one link", || b.links().0 + b.links().1 == 1).await;
+
+        let mut strangers = Vec::new();
+        for _ in 0..6 {
+            strangers.push(TcpStream::connect(at).await.expect("a listener"));
+        }
+        until("those that are too many", || here.counts.borrow().crowded >= 3).await;
+        // Those that say nothing are told nothing and end.
+        let mut rest = Vec::new();
+        let ended = timeout(PATIENCE, strangers[0].read_to_end(&mut rest)).await.expect("an end");
+        assert!(ended.is_err() || rest.is_empty());
+    });
+}
--- a/src/net/fleet/way.rs
+++ b/src/net/fleet/way.rs
@@ -100,7 +100,21 @@
     number: u64,
     dialled: bool,
     life: u64,
-    end: Rc<Notify>,
+    end: Rc<Ending>,
+}
+
+/// Asks a link to end. What was written on it is still read: only between two frames, and only then, its writing ends.
+#[derive(Default)]
+struct Ending {
+    asked: Cell<bool>,
+    wake: Notify,
+}
+
+impl Ending {
+    fn ask(&self) {
+        self.asked.set(true);
+        self.wake.notify_one();
+    }
 }
 
 struct Peer {
@@ -264,7 +278,7 @@
         });
         let Some(spare) = spare.min_by_key(|peer| peer.used.get()) else { return false };
         if let Some(link) = spare.link.borrow_mut().take() {
-            link.end.notify_one();
+            link.end.ask();
         }
         true
     }
@@ -288,6 +302,8 @@
                     let theirs = peer.link.borrow().as_ref().is_some_and(|link| link.life == life);
                     if !theirs || *self.block.own < *peer.name {
                         self.run(&peer, reader, writer, true, life).await;
+                    } else {
+                        tokio::task::spawn_local(self.clone().drain(peer.clone(), reader, writer));
                     }
                 }
                 Ok(Err(why)) => self.refused(why),
@@ -400,7 +416,7 @@
         };
         let ours = peer.link.borrow().as_ref().is_some_and(|link| link.dialled && link.life == hello.life);
         if ours && *self.block.own < *peer.name {
-            return;
+            return self.clone().drain(peer, reader, writer).await;
         }
         self.run(&peer, reader, writer, false, hello.life).await;
         self.forget(&peer);
@@ -418,16 +434,25 @@
         life: u64,
     ) {
         self.links.set(self.links.get() + 1);
-        let (number, end) = (self.links.get(), Rc::new(Notify::new()));
+        let (number, end) = (self.links.get(), Rc::<Ending>::default());
         let before = peer.link.borrow_mut().replace(Link { number, dialled, life, end: end.clone() });
         if let Some(before) = before {
-            before.end.notify_one();
+            before.end.ask();
         }
         self.counts.borrow_mut().up += 1;
+        let write = async {
+            let ended = self.write(peer, &mut writer, dialled, &end).await;
+            if end.asked.get() {
+                // The other link's writer takes over, and the peer's last frames are read until it ends too.
+                peer.wake.notify_one();
+                let _ = writer.shutdown().await;
+                sleep(self.silence()).await;
+            }
+            ended
+        };
         let ended = tokio::select! {
             ended = self.read(peer, &mut reader) => ended,
-            ended = self.write(peer, &mut writer, dialled) => ended,
-            () = end.notified() => End::Closed,
+            ended = write => ended,
         };
         {
             let mut counts = self.counts.borrow_mut();
@@ -444,6 +469,18 @@
         }
     }
 
+    /// Ends a connection in whose place another stands: nothing is written on it, and what comes is read until it ends.
+    async fn drain(
+        self: Rc<Self>,
+        peer: Rc<Peer>,
+        mut reader: FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>,
+        mut writer: OwnedWriteHalf,
+    ) {
+        // It may have ended already.
+        let _ = writer.shutdown().await;
+        let _ = timeout(self.silence(), self.read(&peer, &mut reader)).await;
+    }
+
     fn silence(&self) -> Duration {
         Duration::from_millis(self.block.beat_ms) * SILENT
     }
@@ -473,10 +510,13 @@
         }
     }
 
-    async fn write(&self, peer: &Peer, writer: &mut OwnedWriteHalf, dialled: bool) -> End {
+    async fn write(&self, peer: &Peer, writer: &mut OwnedWriteHalf, dialled: bool, end: &Ending) -> End {
         let beat = Duration::from_millis(self.block.beat_ms);
         let Some(sign) = self.seal.frame(Kind::Beat, &[]) else { return End::Closed };
         loop {
+            if end.asked.get() {
+                return End::Closed;
+            }
             let next = peer.outbox.borrow_mut().pop();
             let frame = match next {
                 Some(frame) => frame,
@@ -485,9 +525,10 @@
                     if dialled && idle {
                         return End::Idle;
                     }
-                    match timeout(beat, peer.wake.notified()).await {
-                        Ok(()) => continue,
-                        Err(_elapsed) => sign.clone(),
+                    tokio::select! {
+                        () = peer.wake.notified() => continue,
+                        () = end.wake.notified() => continue,
+                        () = sleep(beat) => sign.clone(),
                     }
                 }
             };
@@ -503,3 +544,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "peers.rs"]
+mod peers;
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -226,6 +226,11 @@
         Links { bounds, shelves, ages, rng: Pcg32::seed_from_u64(seed), rate: 0.0, rate_at: 0.0, open: 0 }
     }
 
+    /// Reckons with so many front doors from now on.
+    pub fn fleet_of(&mut self, doors: u32) {
+        self.bounds.doors = doors;
+    }
+
     /// Links and dials that there are.
     #[cfg(test)]
     pub fn open(&self) -> usize {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -68,6 +68,7 @@
     let sockets = config.sockets();
     let agent = watch::Sender::new(config.discovery);
     let backoff = Backoff::new(door.site.settings.gateways, config.seed);
+    let callers = backoff.gateways();
     tokio::task::spawn_local(discovery::follow(door.clone(), agent.subscribe(), config.known, backoff));
     let clients = Clients::new(door.clone(), door.site.clone(), sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
@@ -76,8 +77,17 @@
         Some(block) => {
             let (desk, most) = (door.clone(), room::client_budget(sockets).max(1));
             let load = move || (desk.unanswered() * 1000 / most).min(1000) as u16;
-            let site = &door.site;
-            Some(Fleet::start(block, site.clock, site.settings.gateways, config.seed, Box::new(load)).await?)
+            let (pace, paced) = (block.pace, door.clone());
+            let sized = move |doors: u32| {
+                if pace.dials {
+                    paced.fleet_of(doors);
+                }
+                if pace.discovery {
+                    callers.set(doors);
+                }
+            };
+            let (clock, told) = (door.site.clock, door.site.settings.gateways);
+            Some(Fleet::start(block, clock, told, config.seed, Box::new(load), Box::new(sized)).await?)
         }
         None => None,
     };
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -279,6 +279,11 @@
         Pools { shared: Rc::new(shared) }
     }
 
+    /// Paces dials for a fleet of so many front doors from now on.
+    pub fn fleet_of(&self, doors: u32) {
+        self.shared.core.borrow_mut().fleet_of(doors);
+    }
+
     /// A backend that may be sent to.
     pub fn open(&self, id: BackendId, dial: SocketAddr, born_ms: f64) {
         let mut places = self.shared.places.borrow_mut();
