--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -29,20 +29,30 @@
         (0..processes).all(knows).then_some(())
     });
     let agreed = begun.elapsed();
+    let steady = members(&mut rig, processes);
+    let ended_from = begun.elapsed();
     drop(rig);
-    let ended = begun.elapsed() - agreed;
+    let ended = begun.elapsed() - ended_from;
     let (direct, through) = latency()?;
     let ms = |time: Duration| time.as_secs_f64() * 1000.0;
     Ok(format!(
         "| what | figure |\n| --- | --- |\n\
          | {processes} processes: links and stand-ins laid out | {:.0} ms |\n\
          | all serve | {:.0} ms |\n| all know each other | {:.0} ms |\n| all ended | {:.0} ms |\n\
+         | membership, each a second: datagrams, their bytes | {:.2}, {:.0} |\n\
+         | one killed: first and last to miss it | {:.1} s, {:.1} s |\n\
+         | failures seen of those that run | {} |\n\
          | round trip of 64 bytes, direct: median, 99th | {:.0} us, {:.0} us |\n\
          | the same through a link | {:.0} us, {:.0} us |",
         ms(laid),
         ms(serving),
         ms(agreed),
         ms(ended),
+        steady.datagrams,
+        steady.bytes,
+        steady.first.as_secs_f64(),
+        steady.all.as_secs_f64(),
+        steady.wrong,
         direct.0,
         direct.1,
         through.0,
@@ -50,6 +60,56 @@
     ))
 }
 
+/// What membership costs each process, and how soon a death is known.
+struct Members {
+    datagrams: f64,
+    bytes: f64,
+    first: Duration,
+    all: Duration,
+    wrong: usize,
+}
+
+/// Time in which datagrams are counted.
+const STEADY: Duration = Duration::from_secs(30);
+
+fn members(rig: &mut Rig, processes: usize) -> Members {
+    let sums = |rig: &Rig| {
+        let of = |i, name: &str| {
+            rig.told(i).and_then(|event| event.more["members"]["counts"][name].as_u64()).unwrap_or(0)
+        };
+        (0..processes).fold((0, 0), |sum, i| (sum.0 + of(i, "sent"), sum.1 + of(i, "sent_bytes")))
+    };
+    // What the start set in motion is let come to rest.
+    std::thread::sleep(STEADY / 3);
+    let (begun, before) = (Instant::now(), sums(rig));
+    std::thread::sleep(STEADY);
+    let (after, seconds) = (sums(rig), begun.elapsed().as_secs_f64() * processes as f64);
+    let dead = crate::rig::name(processes - 1);
+    rig.processes[processes - 1].kill();
+    let killed = Instant::now();
+    let missed = |rig: &Rig| {
+        let saw = |event: &&crate::history::Event| {
+            event.what == "member" && event.text("change") == "failed" && event.text("member") == dead
+        };
+        rig.history.read(|events| events.iter().filter(saw).count())
+    };
+    rig.wait("somebody who misses it", |rig| (missed(rig) > 0).then_some(()));
+    let first = killed.elapsed();
+    rig.wait("all to miss it", |rig| (missed(rig) >= processes - 1).then_some(()));
+    let all = killed.elapsed();
+    let failed = |event: &&crate::history::Event| event.what == "member" && event.text("change") == "failed";
+    let wrong = rig
+        .history
+        .read(|events| events.iter().filter(failed).filter(|event| event.text("member") != dead).count());
+    Members {
+        datagrams: (after.0 - before.0) as f64 / seconds,
+        bytes: (after.1 - before.1) as f64 / seconds,
+        first,
+        all,
+        wrong,
+    }
+}
+
 /// Median and 99th of a round trip, us: direct, and through a link.
 fn latency() -> io::Result<((f64, f64), (f64, f64))> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
