Let loads cost the same however large the fleet is, and count instructions with the rig

Seen on 30 real processes: 9.54 datagrams and 3,880 bytes a second from each, where the simulation says 2 and 87. Followed: every process told its load four times a second, so there was always news to pass on. A word on a load is now told if it moved by a tenth, and by all together at most five times a second; others repeat themselves seldom.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -2,6 +2,8 @@
 
 use crate::load::{Loads, Word};
 use crate::member::{Entry, Member, Standing, Wire};
+use crate::times::Times;
+use crate::told::{Change, Counts, Effect, View};
 use bytes::Bytes;
 use foca::{Codec, Foca, Header, Message, Notification, Runtime, Timer};
 use rand::rngs::StdRng;
@@ -11,169 +13,22 @@
 use std::cmp::Reverse;
 use std::collections::{btree_map, BTreeMap, BinaryHeap};
 use std::hash::{Hash, Hasher};
-use std::num::{NonZeroU32, NonZeroUsize};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Greatest datagram, bytes: fits an Ethernet frame beside the headers round it, so that none is cut in pieces.
-pub const GREATEST_DATAGRAM: usize = 1300;
 /// Members that are known at most, gone ones included. Whoever names more is not listened to.
 const MOST: usize = 4096;
 /// What two ways of adding up the same times may differ by, ms: less is no waiting.
 const GRAIN: f64 = 1e-3;
+/// Words on loads that all members together say in a second: each costs every member some ten times its 25 bytes, sent on.
+const WORDS: f64 = 5.0;
+/// A load that has moved by this, in parts of a thousand, is news.
+const NOTABLE: u16 = 100;
+/// Turns after which one that has not moved is told again.
+const REPEATED: f64 = 20.0;
 /// How far the doubt in oneself goes: times are stretched to this and one times what they are (Lifeguard's bound).
 const MOST_DOUBT: u32 = 8;
 
-/// How often and how long; ms.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Times {
-    /// Between two probes, each of a member drawn in turn.
-    pub probe: f64,
-    /// A probe's answer is expected within this; after it others are asked to probe.
-    pub round_trip: f64,
-    /// How long a member that did not answer may defend itself.
-    pub suspicion: f64,
-    /// Between two rounds of gossip, while there is news.
-    pub gossip: f64,
-    /// Members told in a round.
-    pub gossip_to: usize,
-    /// Members asked to probe for one.
-    pub indirect: usize,
-    /// Between two attempts to reach somebody who should be there and is not.
-    pub heal: f64,
-    /// Between two comparisons of all that is known with a member drawn by chance.
-    pub compare: f64,
-    /// How long one that failed counts as part of the fleet.
-    pub mourn: f64,
-    /// How long after its start a process may take its name from a predecessor that seems alive.
-    pub settle: f64,
-    /// How late a timer may fire before the process doubts itself.
-    pub tolerance: f64,
-}
-
-impl Times {
-    /// Times for a fleet of about so many: suspicion lasts as long as news needs to reach all, so it grows with the
-    /// logarithm of the size (SWIM, section 4.2).
-    pub fn of(size: u32) -> Times {
-        let spread = f64::from(size.max(2)).log10().max(1.0);
-        Times {
-            probe: 1000.0,
-            round_trip: 300.0,
-            suspicion: 3000.0 * spread,
-            gossip: 400.0,
-            gossip_to: 3,
-            indirect: 3,
-            heal: 5000.0,
-            compare: 30_000.0,
-            mourn: 600_000.0,
-            settle: 10_000.0,
-            tolerance: 250.0,
-        }
-    }
-
-    /// When news has most likely reached all: ten rounds of gossip, each of which trebles those who know.
-    fn settled_news(&self) -> f64 {
-        10.0 * self.gossip
-    }
-
-    fn foca(&self, size: u32) -> foca::Config {
-        let ms = |ms: f64| Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::from_secs(1));
-        let some = |count: usize| NonZeroUsize::new(count).unwrap_or(NonZeroUsize::MIN);
-        let mut config = foca::Config::new_lan(NonZeroU32::new(size).unwrap_or(NonZeroU32::MIN));
-        config.probe_period = ms(self.probe);
-        config.probe_rtt = ms(self.round_trip);
-        config.num_indirect_probes = some(self.indirect);
-        config.suspect_to_down_after = ms(self.suspicion);
-        config.remove_down_after = Some(ms(self.mourn));
-        config.max_packet_size = some(GREATEST_DATAGRAM);
-        config.notify_down_members = true;
-        config.periodic_announce = None;
-        config.periodic_announce_to_down_members = None;
-        config.periodic_gossip =
-            Some(foca::PeriodicParams { frequency: ms(self.gossip), num_members: some(self.gossip_to) });
-        config
-    }
-}
-
-/// What has changed.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change {
-    /// Somebody has come, or come back.
-    Up(Member),
-    /// Somebody goes by its own choice.
-    Left(Member),
-    /// Somebody does not answer.
-    Failed(Member),
-    /// Another process lives under the name of this one.
-    Twin(Member),
-    /// The other one started later, so the name is its own: this one takes part no more.
-    Displaced(Member),
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// A datagram for a member.
-    Send {
-        /// For whom.
-        to: Member,
-        /// What.
-        bytes: Bytes,
-    },
-    /// A comparison of all that is known, by a way that carries more than a datagram.
-    Compare {
-        /// With whom.
-        with: Member,
-        /// What to send it first.
-        bytes: Vec<u8>,
-    },
-    /// Something has changed.
-    Changed(Change),
-}
-
-/// What went by.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub struct Counts {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes of these.
-    pub sent_bytes: u64,
-    /// Datagrams taken in.
-    pub heard: u64,
-    /// Bytes of these.
-    pub heard_bytes: u64,
-    /// Datagrams and comparisons that were none, dropped.
-    pub malformed: u64,
-    /// Comparisons that found a difference.
-    pub differed: u64,
-    /// Times that this process was kept from running for longer than it tolerates.
-    pub held_up: u64,
-    /// Times that it was taken for dead and came back.
-    pub returned: u64,
-    /// Members that failed.
-    pub failed: u64,
-    /// Members that left.
-    pub left: u64,
-}
-
-/// Who seems present.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct View {
-    /// Grows with each change.
-    pub revision: u64,
-    /// Those present, this process included, by name.
-    pub present: BTreeMap<Arc<str>, Member>,
-    /// Those that failed and are not back, with when, ms.
-    pub failed: BTreeMap<Arc<str>, (Member, f64)>,
-}
-
-impl View {
-    /// The part of the fleet that is reachable: of those present and those that failed of late, the former.
-    pub fn reachable(&self) -> f64 {
-        self.present.len() as f64 / (self.present.len() + self.failed.len()).max(1) as f64
-    }
-}
-
 /// All that one knows, for a comparison.
 #[derive(Serialize, Deserialize)]
 enum Compared {
@@ -231,6 +86,8 @@
     taken_name: bool,
     gone: bool,
     sequence: u32,
+    /// When it last told its load, and what.
+    said: Option<(f64, u16)>,
     /// Between two comparisons now, ms, and which of those that were set counts.
     calm: f64,
     round: u64,
@@ -324,6 +181,7 @@
             taken_name: false,
             gone: false,
             sequence: 0,
+            said: None,
             calm: soon,
             round: 0,
         };
@@ -649,8 +507,17 @@
         hasher.finish()
     }
 
-    /// Tells how busy this process is, in parts of a thousand.
-    pub fn tell_load(&mut self, load: u16) {
+    /// Tells how busy this process is, in parts of a thousand, if that is news: every word goes to all, so all together say no
+    /// more than [`WORDS`] a second, however many they are. One that is not moved repeats itself seldom, for those who are new.
+    pub fn tell_load(&mut self, now: f64, load: u16) {
+        let apart = 1000.0 / WORDS * self.view.present.len() as f64;
+        let news = self.said.is_none_or(|(at, said)| {
+            now - at >= apart * REPEATED || now - at >= apart && load.abs_diff(said) >= NOTABLE
+        });
+        if !news {
+            return;
+        }
+        self.said = Some((now, load));
         self.sequence = self.sequence.wrapping_add(1);
         let own = self.own();
         let word = Word { name: own.name.clone(), number: own.number, sequence: self.sequence, load };
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,6 +11,10 @@
 mod load;
 mod member;
 pub mod sim;
+mod times;
+mod told;
 
-pub use self::core::{Change, Counts, Effect, Membership, Times, View, GREATEST_DATAGRAM};
+pub use self::core::Membership;
 pub use member::{Entry, Member, Standing, WireError, LONGEST_NAME, LONGEST_ZONE};
+pub use times::{Times, GREATEST_DATAGRAM};
+pub use told::{Change, Counts, Effect, View};
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -3,8 +3,10 @@
 //! Time is simulated, in ms; nothing waits. A datagram or a comparison's message can be delayed, lost, doubled, damaged or
 //! cut by what stands between two members; a member can be killed, stopped, started anew or slowed.
 
-use crate::core::{Change, Counts, Effect, Membership, Times};
+use crate::core::Membership;
 use crate::member::Member;
+use crate::times::Times;
+use crate::told::{Change, Counts, Effect};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
@@ -280,8 +282,9 @@
 
     /// Has a member tell its load.
     pub fn tell_load(&mut self, seat: usize, load: u16) {
+        let now = self.now;
         if let Some(member) = &mut self.seats[seat].member {
-            member.tell_load(load);
+            member.tell_load(now, load);
         }
     }
 
--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -1,9 +1,15 @@
 //! What the rig itself costs, so that figures taken with it can be read.
 
 use crate::ground::Ground;
+use crate::hand::{request_of, Wire};
 use crate::link::{Direction, Link};
 use crate::rig::{Plan, Rig};
+use crate::standins::Manner;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
 use std::io;
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -143,3 +149,50 @@
     times.sort_by(f64::total_cmp);
     Ok((times[ROUNDS / 2], times[ROUNDS * 99 / 100]))
 }
+
+/// Instructions that one front door runs for each request, as `perf stat` counts them; with a fleet block that names so many
+/// others (nobody answers for those beyond `processes`), or without one.
+pub fn instructions(count: usize, fleet: Option<usize>, processes: usize) -> io::Result<f64> {
+    let plan = Plan { processes, backends: 1, fleet: fleet.map(|_| json!({})), ..Plan::default() };
+    let mut rig = Rig::new(&plan)?;
+    rig.act(0, Manner { work_ms: 0.0, ..Manner::default() });
+    for i in 0..processes {
+        // All play at a fleet of one size by the settings, whatever they are told of others.
+        rig.processes[i].config["settings"]["fleet_size"] = 1.into();
+        rig.processes[i].config["settings"]["me"] = 0.into();
+        if let Some(peers) = rig.processes[i].config.pointer_mut("/fleet/peers").and_then(Value::as_array_mut)
+        {
+            let more = peers.len()..fleet.unwrap_or_default();
+            peers.extend(more.map(|j| json!({"name": format!("absent-{j}"), "dial": "127.0.0.1:9"})));
+        }
+        rig.start_one(i)?;
+    }
+    rig.await_serving();
+    let at = rig.processes[0].config["listen"].as_str().and_then(|at| at.parse().ok());
+    let mut client = Wire::to(at.ok_or(io::ErrorKind::InvalidInput)?);
+    let mut ask = |from: usize, count: usize| {
+        (from..from + count).all(|i| {
+            client.write(request_of(&format!("id-{i}"), "read", "wide", "8"));
+            client.read().status() == 200
+        })
+    };
+    // What is done once, and what a fleet does to find itself, is not counted.
+    let warm = ask(0, count / 4);
+    std::thread::sleep(Duration::from_secs(5));
+    let id = rig.processes[0].id().unwrap_or_default().to_string();
+    let mut perf = Command::new("perf");
+    perf.args(["stat", "-x", ",", "-e", "instructions:u", "-p", &id])
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped());
+    let perf = perf.spawn()?;
+    std::thread::sleep(Duration::from_millis(500));
+    let served = ask(count, count);
+    // It may have ended by itself: then it has said why.
+    let _ = kill(Pid::from_raw(perf.id() as i32), Signal::SIGINT);
+    let said = String::from_utf8_lossy(&perf.wait_with_output()?.stderr).into_owned();
+    let counted = said.lines().find_map(|line| line.split(',').next()?.parse::<f64>().ok());
+    match counted.filter(|_| warm && served) {
+        Some(counted) => Ok(counted / count as f64),
+        None => Err(io::Error::other(format!("no count: {}", said.trim()))),
+    }
+}
--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/hints.rs
@@ -176,7 +176,7 @@
 
     /// Lets the others know how busy this one is.
     pub fn tell_load(&self, load: u16) {
-        self.membership.borrow_mut().tell_load(load);
+        self.membership.borrow_mut().tell_load(self.clock.now(), load);
     }
 
     /// Tells the others that this one goes.
