--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -145,7 +145,27 @@
     agree(&mut rig, &[0, 1], "two again");
 }
 
-/// Guards the start: what is wrong in the block is told with its key, on one line, with exit code 2.
+/// Guards a running fleet against a bad block at SIGHUP: it is told with its key, and the old one goes on.
+#[test]
+fn a_bad_block_at_sighup_changes_nothing() {
+    let mut rig = Rig::start(&Plan { processes: 2, ..Plan::default() }).expect("a rig");
+    agree(&mut rig, &[0, 1], "two that know each other");
+    rig.processes[0].reload(|config| config["fleet"]["links"] = 0.into()).expect("a file");
+    rig.wait("a word on the bad key", |rig| {
+        let told =
+            |text: &str| text.contains("the old configuration goes on") && text.contains("fleet.links");
+        rig.history.read(|events| events.iter().any(|event| told(event.text("text"))).then_some(()))
+    });
+    // It still finds the other when that comes back.
+    rig.processes[1].kill();
+    agree(&mut rig, &[0], "one alone");
+    rig.start_one(1).expect("a start");
+    agree(&mut rig, &[0, 1], "two again");
+    assert_eq!(check::no_crash(&rig.history.events()), []);
+}
+
+/// Guards the start: what is wrong in the block is told with its key, on one line, with exit code 2. A clock that is off is a
+/// test's alone.
 #[test]
 fn a_bad_fleet_block_names_its_key() {
     use cometspool_rig::hand::{settings, spawn};
@@ -178,6 +198,13 @@
         assert_eq!(output.status.code(), Some(2), "{key}: {text}");
         assert!(text.contains(key) && text.lines().count() == 1, "{key}: {text}");
     }
+    let config = json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+        "limits": {"sockets": 256}, "settings": settings(), "clock": {"rate": 2.0},
+    });
+    let output = spawn(&config.to_string(), &[]).0.wait_with_output().expect("an exit");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.code() == Some(1) && text.contains("clock: only a test"), "{text}");
 }
 
 /// Guards the rules under the fixed schedules, each of which has to act: what it says it does must show in its history.
