Let one piece serve where the fleet's parts said the same thing twice

Seen on reading the change again: the wait for a fleet that knows itself stood three times (tests, schedules, costs) and is the rig's now; send and try_send of the way shared their list of arguments; an address was looked up by the way and by membership's driver, which made one up where it knew none, and nobody is dialled now where nobody is known; the pause without a descriptor and the bound on members each stood twice; a term to defend oneself was a struct of one flag; this process's own entry was written anew at every call and is only when its number moves; three counters of the simulated fleet were read by nobody.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -1,7 +1,7 @@
 //! The core: what comes in and the time go in, what is to be sent and what changed come out.
 
 use crate::load::{Loads, Word};
-use crate::member::{Entry, Member, Standing, Wire};
+use crate::member::{Entry, Member, Standing, Wire, MOST};
 use crate::times::Times;
 use crate::told::{Change, Counts, Effect, View};
 use bytes::Bytes;
@@ -11,13 +11,11 @@
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{btree_map, BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Members that are known at most, gone ones included. Whoever names more is not listened to.
-const MOST: usize = 4096;
 /// What two ways of adding up the same times may differ by, ms: less is no waiting.
 const GRAIN: f64 = 1e-3;
 /// Words on loads that all members together say in a second: each costs every member some ten times its 25 bytes, sent on.
@@ -51,13 +49,6 @@
 /// What a member is doubted for: its name, its number, and the incarnation in which it did not answer.
 type Ground = (Arc<str>, u64, u16);
 
-/// A member's term to defend itself.
-#[derive(Debug, Default)]
-struct Doubt {
-    /// It has answered since it was doubted.
-    answered: bool,
-}
-
 /// A member of the fleet.
 pub struct Membership {
     foca: Foca<Member, Wire, StdRng, Loads>,
@@ -80,7 +71,7 @@
     probing: bool,
     heard: bool,
     /// Those whom this process doubts, and whether they have answered since.
-    doubted: BTreeMap<Ground, Doubt>,
+    doubted: BTreeMap<Ground, bool>,
     /// Until when, awake, it may take its name from one that seems alive.
     settles: f64,
     taken_name: bool,
@@ -234,7 +225,7 @@
         let late = now - due;
         if late > self.times.tolerance {
             self.counts.held_up += 1;
-            self.self_doubt = (self.self_doubt + 2).min(MOST_DOUBT);
+            self.doubt_self(2);
             self.awake += due - self.last;
         } else {
             self.awake += (now - self.last).max(0.0);
@@ -242,6 +233,10 @@
         self.last = self.last.max(now);
     }
 
+    fn doubt_self(&mut self, by: u32) {
+        self.self_doubt = (self.self_doubt + by).min(MOST_DOUBT);
+    }
+
     fn set(&mut self, after: f64, due: Due) {
         self.timers_set += 1;
         self.timers.push(Reverse((Moment(self.awake + after), self.timers_set)));
@@ -277,7 +272,7 @@
                     if matches!(timer, Timer::ProbeRandomMember(_)) {
                         if self.probing && !self.heard {
                             // Nobody at all was heard: that is more likely this process than all the others.
-                            self.self_doubt = (self.self_doubt + 1).min(MOST_DOUBT);
+                            self.doubt_self(1);
                         }
                         (self.probing, self.heard) = (true, false);
                     }
@@ -287,7 +282,7 @@
                 }
                 Due::Ask(member, incarnation) => {
                     let ground = (member.name.clone(), member.number, incarnation);
-                    let unanswered = self.doubted.get(&ground).is_some_and(|doubt| !doubt.answered);
+                    let unanswered = self.doubted.get(&ground) == Some(&false);
                     if unanswered && self.suspects(&member, incarnation) {
                         self.run(&mut effects, |foca, wants| foca.announce(member.clone(), wants));
                         self.set(self.times.round_trip, Due::Ask(member, incarnation));
@@ -312,12 +307,13 @@
         effects
     }
 
-    /// Whether a member is spared when its time to defend itself is over. One that answered meanwhile is there, and its word that it is has yet
-    /// to come: it gets another term, and is told what is said of it, as that may have missed it. Only an answer counts: one that is heard but hears nothing is of no use.
+    /// Whether a member is spared when its time to defend itself is over. One that answered meanwhile is there, and its word
+    /// that it is has yet to come: it gets another term, and is told what is said of it, as that may have missed it. Only an
+    /// answer counts: one that is heard but hears nothing is of no use.
     fn reprieve(&mut self, timer: &Timer<Member>, effects: &mut Vec<Effect>) -> bool {
         let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
         let ground = (member_id.name.clone(), member_id.number, *incarnation);
-        let answered = self.doubted.remove(&ground).is_some_and(|doubt| doubt.answered);
+        let answered = self.doubted.remove(&ground) == Some(true);
         if !self.suspects(member_id, *incarnation) {
             // It has defended itself. The protocol's library would find the term stale, and tell the member all the same that
             // it is dead (it asks only whether the member is known): it would come back under a new number for nothing.
@@ -346,10 +342,11 @@
     fn doubt(&mut self, timer: Timer<Member>, term: f64) {
         let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer else { return };
         let (member, incarnation) = (member_id.clone(), *incarnation);
-        match self.doubted.entry((member.name.clone(), member.number, incarnation)) {
-            btree_map::Entry::Occupied(_) => return,
-            btree_map::Entry::Vacant(vacant) => drop(vacant.insert(Doubt::default())),
+        let ground = (member.name.clone(), member.number, incarnation);
+        if self.doubted.contains_key(&ground) {
+            return;
         }
+        self.doubted.insert(ground, false);
         self.set(0.0, Due::Ask(member, incarnation));
         self.set(term, Due::Foca(timer));
     }
@@ -398,15 +395,15 @@
         }
         if header.message == Message::Feed {
             let of_it = self.doubted.iter_mut().filter(|((name, ..), _)| *name == header.src.name);
-            of_it.for_each(|(_, doubt)| doubt.answered = true);
+            of_it.for_each(|(_, answered)| *answered = true);
         }
-        let own = self.own().clone();
-        if header.src.name == own.name && header.src.life != own.life {
+        let namesake = header.src.name == self.own().name;
+        if namesake && header.src.life != self.own().life {
             effects.push(Effect::Changed(Change::Twin(header.src.clone())));
         }
         let said = Entry { member: header.src.clone(), incarnation: 0, standing: Standing::Alive };
         self.own_name(entries.iter().chain(std::iter::once(&said)), &mut effects);
-        if self.gone || header.src.name == own.name {
+        if self.gone || namesake {
             return effects;
         }
         self.run(&mut effects, |foca, wants| foca.handle_data(bytes, wants));
@@ -416,12 +413,12 @@
     /// Guards the name. A process that starts takes it over from whoever had it, once; of two that live, the one that
     /// started later keeps it, so that all others settle it the same way by its higher number.
     fn own_name<'a>(&mut self, entries: impl Iterator<Item = &'a Entry>, effects: &mut Vec<Effect>) {
+        let name = &self.own().name;
+        let of_it = entries.filter(|entry| entry.member.name == *name);
+        let Some(other) = of_it.max_by_key(|entry| entry.member.number) else { return };
         let own = self.own().clone();
-        let other =
-            entries.filter(|entry| entry.member.name == own.name).max_by_key(|entry| entry.member.number);
-        let Some(other) = other else { return };
         if other.member.number == own.number && other.standing == Standing::Suspect {
-            self.self_doubt = (self.self_doubt + 1).min(MOST_DOUBT);
+            self.doubt_self(1);
         }
         let same = other.member.life == own.life;
         if other.member.number <= own.number && (same || other.member.number < own.number) {
@@ -548,7 +545,7 @@
         effects: &mut Vec<Effect>,
         act: impl FnOnce(&mut Foca<Member, Wire, StdRng, Loads>, &mut Wants) -> Result<(), foca::Error>,
     ) {
-        let mut wants = Wants::default();
+        let (mut wants, number) = (Wants::default(), self.own().number);
         if let Err(error) = act(&mut self.foca, &mut wants) {
             use foca::Error::{CustomBroadcast, DataTooBig, Decode, IndirectForOurselves, MalformedPacket};
             if matches!(
@@ -580,8 +577,10 @@
         for note in wants.notes {
             self.note(note, effects);
         }
-        let own = self.own().clone();
-        self.view.present.insert(own.name.clone(), own);
+        if self.own().number != number {
+            let own = self.own().clone();
+            self.view.present.insert(own.name.clone(), own);
+        }
     }
 
     fn note(&mut self, note: Note, effects: &mut Vec<Effect>) {
--- a/crates/membership/src/load.rs
+++ b/crates/membership/src/load.rs
@@ -1,6 +1,6 @@
 //! What members tell of how busy they are. It changes too often to be part of who a member is.
 
-use crate::member::LONGEST_NAME;
+use crate::member::{LONGEST_NAME, MOST};
 use foca::{BroadcastHandler, Invalidates};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -8,9 +8,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Members whose load is kept at most.
-const MOST: usize = 4096;
-
 /// One member's word on its load.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Word {
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -53,7 +53,6 @@
     /// Until when it stands still; what comes meanwhile waits.
     stopped: Option<f64>,
     waiting: Vec<What>,
-    starts: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -103,8 +102,6 @@
     pub seen: Vec<Seen>,
     /// Bytes of comparisons.
     pub compared_bytes: u64,
-    /// Comparisons' messages.
-    pub compared: u64,
     /// Datagrams dropped for their checksum.
     pub damaged: u64,
     /// What each start adds to the number of a member: under nought where the clock was set back.
@@ -149,17 +146,10 @@
             cuts: BTreeSet::new(),
             seen: Vec::new(),
             compared_bytes: 0,
-            compared: 0,
             damaged: 0,
             clock_ahead: 0.0,
             seats: (0..count)
-                .map(|_| Seat {
-                    member: None,
-                    before: Counts::default(),
-                    stopped: None,
-                    waiting: Vec::new(),
-                    starts: 0,
-                })
+                .map(|_| Seat { member: None, before: Counts::default(), stopped: None, waiting: Vec::new() })
                 .collect(),
             names: (0..count).map(|seat| format!("n{seat}")).collect(),
             told,
@@ -208,7 +198,6 @@
         self.seats[seat].member = Some(member);
         self.seats[seat].stopped = None;
         self.seats[seat].waiting.clear();
-        self.seats[seat].starts += 1;
         self.plan_tick(seat);
     }
 
@@ -288,11 +277,6 @@
         }
     }
 
-    /// Hands a datagram from anywhere to a member.
-    pub fn hand(&mut self, seat: usize, bytes: Vec<u8>) {
-        self.push(self.now, seat, What::Datagram(bytes));
-    }
-
     fn push(&mut self, at: f64, to: usize, what: What) {
         self.order += 1;
         self.events.push(Reverse(Event { at, order: self.order, to, what }));
@@ -381,7 +365,6 @@
         if self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from)) {
             return;
         }
-        self.compared += 1;
         self.compared_bytes += bytes.len() as u64;
         let at = self.now + 3.0 * self.delay();
         self.push(at, to, What::Compared { from, bytes });
--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -25,15 +25,7 @@
     (0..processes).try_for_each(|i| rig.start_one(i))?;
     rig.await_serving();
     let serving = begun.elapsed();
-    rig.wait("a fleet that knows itself", |rig| {
-        let knows = |i| {
-            let told = rig.told(i);
-            let present =
-                told.as_ref().and_then(|event| event.more["members"]["present"].as_array().map(Vec::len));
-            present == Some(processes)
-        };
-        (0..processes).all(knows).then_some(())
-    });
+    rig.agree(&(0..processes).collect::<Vec<_>>(), "a fleet that knows itself");
     let agreed = begun.elapsed();
     let steady = members(&mut rig, processes);
     let ended_from = begun.elapsed();
--- a/crates/rig/src/hand.rs
+++ b/crates/rig/src/hand.rs
@@ -1,6 +1,8 @@
 //! The built front door between sockets that a test holds: it plays the clients, backends and discovery by
 //! hand, a message at a time. Nothing here sleeps; what does not come within `PATIENCE` fails the test.
 
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -317,7 +319,7 @@
     }
 
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        self.signal(Signal::SIGTERM);
     }
 
     /// Replaces the configuration file and tells the program.
@@ -325,12 +327,12 @@
         let fresh = format!("{}.new", self.path);
         std::fs::write(&fresh, config).expect("a file");
         std::fs::rename(&fresh, &self.path).expect("a file replaced");
-        self.signal("-HUP");
+        self.signal(Signal::SIGHUP);
     }
 
     /// The process is kept from running until it is resumed; returns once it stands still.
     pub fn pause(&self) {
-        self.signal("-STOP");
+        self.signal(Signal::SIGSTOP);
         let path = format!("/proc/{}/stat", self.child.id());
         wait_for("a process that stands still", || {
             let stat = std::fs::read_to_string(&path).expect("the process");
@@ -339,7 +341,7 @@
     }
 
     pub fn resume(&self) {
-        self.signal("-CONT");
+        self.signal(Signal::SIGCONT);
     }
 
     /// The descriptors that it holds.
@@ -347,9 +349,8 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("the process").count()
     }
 
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("a process to tell");
     }
 
     /// The next line of its log.
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -232,6 +232,20 @@
         })
     }
 
+    /// Which front doors a process says are present.
+    pub fn present(&self, i: usize) -> Vec<String> {
+        let told = self.told(i);
+        let names = told.as_ref().and_then(|event| event.more["members"]["present"].as_array());
+        names.into_iter().flatten().filter_map(|name| name.as_str().map(str::to_owned)).collect()
+    }
+
+    /// Waits until each of these says that just these are present.
+    pub fn agree(&mut self, these: &[usize], what: &str) {
+        let mut names: Vec<String> = these.iter().copied().map(name).collect();
+        names.sort();
+        self.wait(what, |rig| these.iter().all(|i| rig.present(*i) == names).then_some(()));
+    }
+
     // ---- Faults ---------------------------------------------------------------------------------------
 
     /// The direction from one process to another.
--- a/crates/rig/src/schedule.rs
+++ b/crates/rig/src/schedule.rs
@@ -4,7 +4,7 @@
 use crate::history::Event;
 use crate::link::Quality;
 use crate::load::Pace;
-use crate::rig::{name, Plan, Rig};
+use crate::rig::{Plan, Rig};
 use crate::standins::Manner;
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
@@ -328,18 +328,7 @@
     }
     rig.await_serving();
     if schedule.fleet {
-        let names: Vec<Value> = {
-            let mut names: Vec<String> = (0..all).map(name).collect();
-            names.sort();
-            names.into_iter().map(Value::from).collect()
-        };
-        rig.wait("a fleet that knows itself", |rig| {
-            let knows = |i| {
-                rig.told(i)
-                    .is_some_and(|event| event.more["members"]["present"] == Value::Array(names.clone()))
-            };
-            (0..all).all(knows).then_some(())
-        });
+        rig.agree(&(0..all).collect::<Vec<_>>(), "a fleet that knows itself");
     }
     rig.settle(&load);
     look_for_crashes(&mut rig);
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: the listener, how long a connection may take, and the one final answer of each request.
 
 use super::request::{read_body, read_head, Bad};
-use super::room::client_budget;
+use super::room::{client_budget, NO_DESCRIPTOR};
 use super::site::Site;
 use super::traffic::{Answer, Incoming, BUFFER};
 use cometspool::{Millis, RequestId};
@@ -35,8 +35,6 @@
 const HEARD_OUT: Duration = Duration::from_millis(100);
 /// Time to accept what came just before the end.
 const LAST_LOOK: Duration = Duration::from_millis(5);
-/// Pause when the system has no descriptor for a new connection.
-const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
 /// Time for a whole request from its first byte, and for the first one on a connection from the connect.
 const READ_TIME: Millis = 2000.0;
 /// What is added before a connection is closed without a word, so that an answer can tell why.
--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/hints.rs
@@ -9,7 +9,6 @@
 use serde_json::json;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -35,7 +34,6 @@
     membership: RefCell<Membership>,
     socket: UdpSocket,
     way: Rc<Way>,
-    peers: BTreeMap<String, SocketAddr>,
     clock: Clock,
     own: String,
     changed: Notify,
@@ -69,7 +67,6 @@
             membership: RefCell::new(membership),
             socket,
             way,
-            peers: block.peers.clone(),
             clock,
             own: block.own.clone(),
             changed: Notify::new(),
@@ -126,9 +123,7 @@
         self.changed.notify_one();
         if let Some(back) = back {
             let at = self.membership.borrow().view().present.get(from).map(|member| member.address);
-            // It asked over a link, which carries the answer; nobody is dialled for it. No room is counted by the way.
-            let at =
-                at.or_else(|| self.peers.get(from).copied()).unwrap_or(SocketAddr::from(([127, 0, 0, 1], 1)));
+            // It asked over a link, which carries the answer. No room is counted by the way.
             let _ = self.way.send(from, at, Lane::Hints, Kind::Compare, &back);
         }
     }
@@ -137,7 +132,7 @@
         for effect in effects {
             match effect {
                 Effect::Send { to, bytes } => {
-                    let at = self.peers.get(&*to.name).copied().unwrap_or(to.address);
+                    let at = self.way.address(&to.name, Some(to.address)).unwrap_or(to.address);
                     match self.way.seal.frame(Kind::Gossip, &bytes) {
                         // A datagram that the system has no room for is lost, as others are.
                         Some(frame) => drop(self.socket.try_send_to(&frame, at)),
@@ -146,7 +141,7 @@
                 }
                 Effect::Compare { with, bytes } => {
                     // No room is counted by the way, and the next comparison comes anyhow.
-                    let _ = self.way.send(&with.name, with.address, Lane::Hints, Kind::Compare, &bytes);
+                    let _ = self.way.send(&with.name, Some(with.address), Lane::Hints, Kind::Compare, &bytes);
                 }
                 Effect::Changed(change) => {
                     self.tell(&change);
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -34,8 +34,8 @@
 
 impl Fleet {
     /// Listens for the others and begins to look for them. `told` is the fleet's size by the settings; `seed` is new with
-    /// each start; `load` tells how busy it is, in parts of a thousand; `sized` is told how
-    /// many front doors there seem to be.
+    /// each start; `load` tells how busy it is, in parts of a thousand; `sized` is told how many
+    /// front doors there seem to be.
     pub async fn start(
         block: Block,
         clock: Clock,
--- a/src/net/fleet/peers.rs
+++ b/src/net/fleet/peers.rs
@@ -63,11 +63,10 @@
         let _never_reads = greet(at, here.seal, "n", "a").await;
         until("its link", || here.links() == (0, 1)).await;
         let big = vec![0; 100_000];
-        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
         let mut refused = 0;
         for _ in 0..100 {
-            refused += u32::from(here.send("n", nowhere, Lane::Copies, Kind::Compare, &big).is_err());
-            assert_eq!(here.send("b", nowhere, Lane::Copies, Kind::Compare, b"small"), Ok(()));
+            refused += u32::from(here.send("n", None, Lane::Copies, Kind::Compare, &big).is_err());
+            assert_eq!(here.send("b", None, Lane::Copies, Kind::Compare, b"small"), Ok(()));
             tokio::task::yield_now().await;
         }
         assert!(refused > 0, "no limit was met");
@@ -98,7 +97,7 @@
         let (other, other_at, _) = way("b", &[]).await;
         // The address of `x` is now that of `b`.
         let (here, at, came) = way("a", &[("x", other_at)]).await;
-        assert_eq!(here.send("x", other_at, Lane::Hints, Kind::Compare, b"for x"), Ok(()));
+        assert_eq!(here.send("x", Some(other_at), Lane::Hints, Kind::Compare, b"for x"), Ok(()));
         until("a greeting for somebody else", || other.counts.borrow().wrong_name >= 1).await;
         assert_eq!((here.links(), other.links()), ((0, 0), (0, 0)));
 
@@ -126,14 +125,14 @@
         let (_d, d_at, came_d) = way("d", &[]).await;
         let (here, at, came) = way("a", &[]).await;
         for (name, to, came) in [("b", b_at, &came_b), ("c", c_at, &came_c), ("d", d_at, &came_d)] {
-            assert_eq!(here.send(name, to, Lane::Hints, Kind::Compare, b"hello"), Ok(()));
+            assert_eq!(here.send(name, Some(to), Lane::Hints, Kind::Compare, b"hello"), Ok(()));
             until("a frame", || !came.borrow().is_empty()).await;
             assert!(here.links().0 <= 2);
         }
         until("the oldest to leave", || b.links() == (0, 0)).await;
         // Both at once: whichever comes up first, one is left, and both ways carry.
-        assert_eq!(here.send("b", b_at, Lane::Hints, Kind::Compare, b"1"), Ok(()));
-        assert_eq!(b.send("a", at, Lane::Hints, Kind::Compare, b"2"), Ok(()));
+        assert_eq!(here.send("b", Some(b_at), Lane::Hints, Kind::Compare, b"1"), Ok(()));
+        assert_eq!(b.send("a", Some(at), Lane::Hints, Kind::Compare, b"2"), Ok(()));
         until("both frames", || {
             came.borrow().iter().any(|(from, _)| from == "b") && came_b.borrow().len() == 2
         })
--- a/src/net/fleet/way.rs
+++ b/src/net/fleet/way.rs
@@ -6,6 +6,7 @@
 use super::block::Block;
 use super::frame::{body, Broken, Foreign, Frame, Kind, Seal, HEAD};
 use super::outbox::{Full, Lane, Outbox};
+use crate::net::room::NO_DESCRIPTOR;
 use backon::{BackoffBuilder, ExponentialBuilder};
 use cometspool_membership::LONGEST_NAME;
 use serde::{Deserialize, Serialize};
@@ -16,11 +17,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 use tokio_stream::StreamExt;
+use tokio_util::bytes::Bytes;
 use tokio_util::codec::FramedRead;
 
 /// First and longest pause before a peer is dialled again; between them it doubles, and is drawn.
@@ -31,8 +33,6 @@
 const PEERS: usize = 4096;
 /// Beats without a whole frame after which a link ends.
 const SILENT: u32 = 4;
-/// Pause when the system has no descriptor for a new connection.
-const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
 
 /// The first frame each way.
 #[derive(Debug, Serialize, Deserialize)]
@@ -127,6 +127,9 @@
     used: Cell<Instant>,
 }
 
+/// The end of a connection that frames are read from.
+type Reader = FramedRead<OwnedReadHalf, Seal>;
+
 /// Takes in the frames that come on links.
 type Taker = dyn Fn(&str, &Frame);
 
@@ -182,38 +185,43 @@
         (here, dialled.len() - here)
     }
 
+    /// Where to reach somebody: the told address goes before what is said of it.
+    pub fn address(&self, name: &str, said: Option<SocketAddr>) -> Option<SocketAddr> {
+        self.block.peers.get(name).copied().or(said)
+    }
+
     /// Sends a frame to a peer: on the link that is there, or on one that is dialled for it, at the told address or else at
-    /// `at`. There is no room for more than the limits allow.
+    /// `at`. There is no room for more than the limits allow, nor for somebody who is nowhere.
     pub fn send(
         self: &Rc<Self>,
         to: &str,
-        at: SocketAddr,
+        at: Option<SocketAddr>,
         lane: Lane,
         kind: Kind,
         content: &[u8],
     ) -> Result<(), Full> {
-        let sent = self.try_send(to, at, lane, kind, content);
+        let frame = self.seal.frame(kind, content).ok_or(Full);
+        let sent = frame.and_then(|frame| self.queue(to, at, lane, frame));
         if sent.is_err() {
             self.counts.borrow_mut().full += 1;
         }
         sent
     }
 
-    fn try_send(
+    fn queue(
         self: &Rc<Self>,
         to: &str,
-        at: SocketAddr,
+        at: Option<SocketAddr>,
         lane: Lane,
-        kind: Kind,
-        content: &[u8],
+        frame: Bytes,
     ) -> Result<(), Full> {
         if to == self.block.own {
             return Err(Full);
         }
-        let frame = self.seal.frame(kind, content).ok_or(Full)?;
         let peer = self.peer(to).ok_or(Full)?;
         let linked = peer.link.borrow().is_some() || peer.dialling.get();
-        if !linked && !self.make_room() {
+        let dial = self.address(to, at).filter(|_| !linked);
+        if !linked && (dial.is_none() || !self.make_room()) {
             self.forget(&peer);
             return Err(Full);
         }
@@ -225,12 +233,12 @@
             outbox.dropped - before
         };
         self.counts.borrow_mut().dropped += dropped;
-        if linked {
-            peer.wake.notify_one();
-        } else {
-            peer.dialling.set(true);
-            let at = self.block.peers.get(to).copied().unwrap_or(at);
-            tokio::task::spawn_local(self.clone().dial(peer, at));
+        match dial {
+            Some(at) => {
+                peer.dialling.set(true);
+                tokio::task::spawn_local(self.clone().dial(peer, at));
+            }
+            None => peer.wake.notify_one(),
         }
         Ok(())
     }
@@ -329,11 +337,7 @@
         self.forget(&peer);
     }
 
-    async fn greet(
-        &self,
-        peer: &Peer,
-        at: SocketAddr,
-    ) -> Result<(FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>, OwnedWriteHalf, u64), Broken> {
+    async fn greet(&self, peer: &Peer, at: SocketAddr) -> Result<(Reader, OwnedWriteHalf, u64), Broken> {
         let stream = TcpStream::connect(at).await?;
         stream.set_nodelay(true)?;
         let (reader, mut writer) = stream.into_split();
@@ -353,10 +357,7 @@
         Ok(writer.write_all(&frame).await?)
     }
 
-    async fn hear_hello(
-        &self,
-        reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>,
-    ) -> Result<Hello, Broken> {
+    async fn hear_hello(&self, reader: &mut Reader) -> Result<Hello, Broken> {
         let frame = reader.next().await.ok_or(io::Error::from(io::ErrorKind::UnexpectedEof))??;
         let hello: Option<Hello> = (frame.kind == Some(Kind::Hello)).then(|| frame.read()).flatten();
         let hello = hello.ok_or(Foreign::Mark)?;
@@ -428,7 +429,7 @@
     async fn run(
         self: &Rc<Self>,
         peer: &Rc<Peer>,
-        mut reader: FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>,
+        mut reader: Reader,
         mut writer: OwnedWriteHalf,
         dialled: bool,
         life: u64,
@@ -470,12 +471,7 @@
     }
 
     /// Ends a connection in whose place another stands: nothing is written on it, and what comes is read until it ends.
-    async fn drain(
-        self: Rc<Self>,
-        peer: Rc<Peer>,
-        mut reader: FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>,
-        mut writer: OwnedWriteHalf,
-    ) {
+    async fn drain(self: Rc<Self>, peer: Rc<Peer>, mut reader: Reader, mut writer: OwnedWriteHalf) {
         // It may have ended already.
         let _ = writer.shutdown().await;
         let _ = timeout(self.silence(), self.read(&peer, &mut reader)).await;
@@ -485,7 +481,7 @@
         Duration::from_millis(self.block.beat_ms) * SILENT
     }
 
-    async fn read(&self, peer: &Peer, reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, Seal>) -> End {
+    async fn read(&self, peer: &Peer, reader: &mut Reader) -> End {
         loop {
             let frame = match timeout(self.silence(), reader.next()).await {
                 Ok(Some(Ok(frame))) => frame,
--- a/src/net/room.rs
+++ b/src/net/room.rs
@@ -1,6 +1,10 @@
 //! How a front door's descriptors and memory are shared out between its two sides.
 
 use super::traffic::BUFFER;
+use std::time::Duration;
+
+/// Pause when the system has no descriptor for a new connection.
+pub const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
 
 /// Descriptors kept for discovery, listening and the runtime.
 const SPARE_SOCKETS: usize = 24;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -34,20 +34,6 @@
     assert!(count("asked") >= 200 && count("ran") >= 100, "{} asked, {} ran", count("asked"), count("ran"));
 }
 
-/// Which of the others a process says are present.
-fn present(rig: &Rig, i: usize) -> Vec<String> {
-    let told = rig.told(i);
-    let names = told.as_ref().and_then(|event| event.more["members"]["present"].as_array());
-    names.into_iter().flatten().filter_map(|name| name.as_str().map(str::to_owned)).collect()
-}
-
-/// Waits until each of these says that just these are present.
-fn agree(rig: &mut Rig, these: &[usize], what: &str) {
-    let mut names: Vec<String> = these.iter().map(|i| cometspool_rig::rig::name(*i)).collect();
-    names.sort();
-    rig.wait(what, |rig| these.iter().all(|i| present(rig, *i) == names).then_some(()));
-}
-
 /// A counter of the way that a process tells.
 fn way(rig: &Rig, i: usize, name: &str) -> u64 {
     rig.told(i).and_then(|event| event.more["way"][name].as_u64()).unwrap_or_default()
@@ -60,7 +46,7 @@
     let mut rig = Rig::start(&Plan { processes: 6, ..Plan::default() }).expect("a rig");
     let load = rig.load(Pace { per_s: 40.0, ..Pace::default() });
     let all = [0, 1, 2, 3, 4, 5];
-    agree(&mut rig, &all, "six that know each other");
+    rig.agree(&all, "six that know each other");
     rig.wait("the loads of all at each", |rig| {
         let known = |i| {
             rig.told(i).and_then(|event| event.more["members"]["loads"].as_object().map(|loads| loads.len()))
@@ -68,22 +54,22 @@
         all.iter().all(|i| known(*i) == Some(6)).then_some(())
     });
     rig.processes[5].kill();
-    agree(&mut rig, &all[..5], "five that miss one");
+    rig.agree(&all[..5], "five that miss one");
     rig.start_one(5).expect("a start");
-    agree(&mut rig, &all, "six again");
+    rig.agree(&all, "six again");
     rig.processes[4].signal(Signal::SIGSTOP);
-    agree(&mut rig, &[0, 1, 2, 3, 5], "five without the one that stands still");
+    rig.agree(&[0, 1, 2, 3, 5], "five without the one that stands still");
     rig.processes[4].signal(Signal::SIGCONT);
-    agree(&mut rig, &all, "six after it woke");
+    rig.agree(&all, "six after it woke");
     rig.split(&[&[0, 1], &[2, 3], &[4, 5]]);
     for third in [[0, 1], [2, 3], [4, 5]] {
-        agree(&mut rig, &third, "a third on its own");
+        rig.agree(&third, "a third on its own");
     }
     rig.heal();
-    agree(&mut rig, &all, "six after the split");
+    rig.agree(&all, "six after the split");
     rig.processes[0].signal(Signal::SIGTERM);
     rig.processes[0].wait();
-    agree(&mut rig, &all[1..], "five after one left");
+    rig.agree(&all[1..], "five after one left");
     rig.settle(&load);
     let events = rig.history.events();
     assert_eq!(check::all(&events), []);
@@ -113,7 +99,7 @@
 fn foreign_damaged_and_halved_frames_are_counted_and_end_their_connection() {
     use std::io::{Read, Write};
     let mut rig = Rig::start(&Plan { processes: 2, ..Plan::default() }).expect("a rig");
-    agree(&mut rig, &[0, 1], "two that know each other");
+    rig.agree(&[0, 1], "two that know each other");
     let at: std::net::SocketAddr =
         rig.processes[0].config["fleet"]["listen"].as_str().unwrap().parse().unwrap();
     let mut head = b"CS\0\x01\0\x01\0\0".to_vec();
@@ -140,16 +126,16 @@
     let damaged = cometspool_rig::link::Quality { damage: 1.0, ..Default::default() };
     rig.between(&[0], &[1], &damaged);
     rig.wait("damage found", |rig| (way(rig, 0, "checksum") + way(rig, 1, "checksum") >= 5).then_some(()));
-    agree(&mut rig, &[0], "one alone");
+    rig.agree(&[0], "one alone");
     rig.heal();
-    agree(&mut rig, &[0, 1], "two again");
+    rig.agree(&[0, 1], "two again");
 }
 
 /// Guards a running fleet against a bad block at SIGHUP: it is told with its key, and the old one goes on.
 #[test]
 fn a_bad_block_at_sighup_changes_nothing() {
     let mut rig = Rig::start(&Plan { processes: 2, ..Plan::default() }).expect("a rig");
-    agree(&mut rig, &[0, 1], "two that know each other");
+    rig.agree(&[0, 1], "two that know each other");
     rig.processes[0].reload(|config| config["fleet"]["links"] = 0.into()).expect("a file");
     rig.wait("a word on the bad key", |rig| {
         let told =
@@ -158,9 +144,9 @@
     });
     // It still finds the other when that comes back.
     rig.processes[1].kill();
-    agree(&mut rig, &[0], "one alone");
+    rig.agree(&[0], "one alone");
     rig.start_one(1).expect("a start");
-    agree(&mut rig, &[0, 1], "two again");
+    rig.agree(&[0, 1], "two again");
     assert_eq!(check::no_crash(&rig.history.events()), []);
 }
 
