--- a/src/interface.rs
+++ b/src/interface.rs
@@ -344,6 +344,8 @@
     Alarm(AlarmId),
     /// A planned stop: what arrives from now on is told to come back once it is over, at this time at the latest.
     Stopping(Millis),
+    /// So many front doors seem present: a hint, for what all of them do at once.
+    Present(u32),
     /// A probe ended.
     Probed {
         /// Which backend.
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -448,6 +448,11 @@
         self.pools.fleet_of(doors.max(self.site.settings.gateways));
     }
 
+    /// Tells the module how many front doors seem present, for its trials of ejected backends.
+    pub fn present(&self, doors: u32) {
+        self.post(self.site.clock.now(), Event::Present(doors));
+    }
+
     /// Disposes of idle connections before backends do, for as long as the front door runs.
     pub async fn tidy(self: Rc<Self>) {
         self.pools.tidy().await;
--- a/src/net/fleet/block.rs
+++ b/src/net/fleet/block.rs
@@ -22,6 +22,8 @@
     pub discovery: bool,
     /// Dials to backends; never for fewer front doors than the settings tell.
     pub dials: bool,
+    /// Trials of ejected backends; never for fewer either.
+    pub trials: bool,
 }
 
 /// The block as it stands.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -82,6 +82,9 @@
                 if pace.dials {
                     paced.fleet_of(doors);
                 }
+                if pace.trials {
+                    paced.present(doors);
+                }
                 if pace.discovery {
                     callers.set(doors);
                 }
--- a/src/rules/backends.rs
+++ b/src/rules/backends.rs
@@ -101,12 +101,13 @@
     terms: Arc<Terms>,
     pub all: Vec<Backend>, // in the order of their ids
     pub ready: Vec<usize>, // places of those that may be sent to
+    pub doors: f64,        // front doors that seem present: never fewer than the settings tell
     pace: Ratio,           // as of each backend, over all
 }
 
 impl Fleet {
     pub fn new(terms: Arc<Terms>) -> Fleet {
-        Fleet { terms, all: Vec::new(), ready: Vec::new(), pace: Ratio::default() }
+        Fleet { doors: terms.gateways, terms, all: Vec::new(), ready: Vec::new(), pace: Ratio::default() }
     }
 
     pub fn find(&self, id: BackendId) -> Option<usize> {
@@ -198,7 +199,7 @@
     /// How long a backend is ejected, the `times`th time in a row: jittered, and longer the more meet it.
     fn ejection(&self, times: u32, rng: &mut Pcg32) -> Millis {
         let others = self.ready.len().saturating_sub(1).max(1) as f64;
-        let meeting = f64::from(self.terms.set.gateways) * (CIRCLE_LEAST / others).min(1.0);
+        let meeting = self.doors * (CIRCLE_LEAST / others).min(1.0);
         let doubled = f64::from(1 << (times - 1).min(EJECT_DOUBLINGS));
         meeting.max(EJECT_AIMS) * self.terms.aim * doubled * (0.5 + chance(rng))
     }
--- a/src/rules/choice.rs
+++ b/src/rules/choice.rs
@@ -62,7 +62,7 @@
             return None;
         }
         let demand = self.demand.rate(ask.now, self.lambda());
-        let rates = (demand, demand / self.able(ask.now, ask.fleet));
+        let rates = (demand, demand / self.able(ask.now, ask.fleet, &circle));
         let best = self.least_cost(ask, rates, &circle, rng);
         best.or_else(|| self.least_cost(ask, rates, &ask.fleet.ready, rng))
     }
@@ -121,8 +121,7 @@
 
     /// Size of the backends that the gateway keeps to, by what they can do. Cold ones get less, so the others
     /// get more, but never so much that a cold one would be pushed over where all are cold.
-    fn able(&self, now: Millis, fleet: &Fleet) -> f64 {
-        let circle = self.circle(now, &self.kept, fleet);
+    fn able(&self, now: Millis, fleet: &Fleet, circle: &[usize]) -> f64 {
         let (size, able) = circle.iter().fold((0.0, 0.0), |(size, able), at| {
             let entry = &fleet.all[*at].entry;
             (size + entry.size, able + entry.size * self.terms.set.warmth(now, entry))
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -82,6 +82,7 @@
                 (attempt, id) => self.copy(now, id, attempt as u32 - 1, actions),
             },
             Event::Stopping(end) => self.stop = Some(end),
+            Event::Present(doors) => self.fleet.doors = self.terms.gateways.max(doors.into()),
             // No probes are sent: load is judged by this gateway's own attempts.
             Event::Probed { .. } => {}
         }
