--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -5,7 +5,9 @@
 use crate::link::{Direction, Link};
 use crate::rig::{Plan, Rig};
 use crate::standins::Manner;
+use nix::sys::resource::{getrusage, UsageWho};
 use nix::sys::signal::{kill, Signal};
+use nix::sys::time::TimeValLike;
 use nix::unistd::Pid;
 use serde_json::{json, Value};
 use std::io;
@@ -41,7 +43,8 @@
          | one killed: first and last to miss it | {:.1} s, {:.1} s |\n\
          | failures seen of those that run | {} |\n\
          | round trip of 64 bytes, direct: median, 99th | {:.0} us, {:.0} us |\n\
-         | the same through a link | {:.0} us, {:.0} us |",
+         | the same through a link | {:.0} us, {:.0} us |\n\
+         | processor time of a round trip, direct, and of a link besides | {:.1} us, {:.1} us |",
         ms(laid),
         ms(serving),
         ms(agreed),
@@ -51,10 +54,12 @@
         steady.first.as_secs_f64(),
         steady.all.as_secs_f64(),
         steady.wrong,
-        direct.0,
-        direct.1,
-        through.0,
-        through.1
+        direct.median,
+        direct.late,
+        through.median,
+        through.late,
+        direct.spent,
+        through.spent - direct.spent
     ))
 }
 
@@ -108,8 +113,16 @@
     }
 }
 
-/// Median and 99th of a round trip, us: direct, and through a link.
-fn latency() -> io::Result<((f64, f64), (f64, f64))> {
+/// What round trips took, us.
+struct Trips {
+    median: f64,
+    late: f64,
+    /// Processor time of this process for each.
+    spent: f64,
+}
+
+/// Round trips direct, and through a link.
+fn latency() -> io::Result<(Trips, Trips)> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     runtime.block_on(async {
         let ground = Ground::take()?;
@@ -128,8 +141,16 @@
     })
 }
 
-async fn rounds(mut stream: TcpStream) -> io::Result<(f64, f64)> {
+/// Processor time that this process has spent so far, us over the rounds.
+fn spent() -> io::Result<f64> {
+    let usage = getrusage(UsageWho::RUSAGE_SELF)?;
+    let sum = usage.user_time() + usage.system_time();
+    Ok(sum.num_microseconds() as f64 / ROUNDS as f64)
+}
+
+async fn rounds(mut stream: TcpStream) -> io::Result<Trips> {
     stream.set_nodelay(true)?;
+    let before = spent()?;
     let mut times = Vec::with_capacity(ROUNDS);
     let mut bytes = [7; 64];
     for _ in 0..ROUNDS {
@@ -138,8 +159,9 @@
         stream.read_exact(&mut bytes).await?;
         times.push(begun.elapsed().as_secs_f64() * 1e6);
     }
+    let spent = spent()? - before;
     times.sort_by(f64::total_cmp);
-    Ok((times[ROUNDS / 2], times[ROUNDS * 99 / 100]))
+    Ok(Trips { median: times[ROUNDS / 2], late: times[ROUNDS * 99 / 100], spent })
 }
 
 /// Instructions that one front door runs for each request, as `perf stat` counts them; with a fleet block that names so many
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -68,6 +68,8 @@
         if let Some(cores) = &self.cores {
             command.args(["taskset", "-c", cores]);
         }
+        // A write over the limit of a full disk is to be an error, as on a disk, and not the process's end.
+        command.args(["env", "--ignore-signal=XFSZ"]);
         command.arg(program()).env_clear().env("BALANCER_CONFIG", &path);
         command.env("TMPDIR", &self.folder).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn()?;
@@ -182,6 +184,21 @@
         std::fs::write(path, bytes)
     }
 
+    /// Lets no file of the process grow, or takes that back: to it the disk is full (the error is EFBIG and not ENOSPC).
+    pub fn fill(&self, full: bool) -> io::Result<()> {
+        let Some(id) = self.id() else { return Ok(()) };
+        self.history.note("rig", "disk", json!({"process": self.name, "full": full}));
+        let limit = format!("--fsize={}", if full { "0:" } else { "unlimited:" });
+        let set = Command::new("prlimit").args(["--pid", &id.to_string(), &limit]).status()?;
+        // A process that has ended meanwhile has no limit to set.
+        let gone = !Path::new("/proc").join(id.to_string()).exists();
+        if set.success() || gone {
+            Ok(())
+        } else {
+            Err(io::Error::other(format!("prlimit: {set}")))
+        }
+    }
+
     fn at_rest(&self, what: &str, file: &str) -> io::Result<()> {
         assert!(self.running.is_none(), "{} runs: its disk is its own", self.name);
         self.history.note("rig", what, json!({"process": self.name, "file": file}));
@@ -230,6 +247,12 @@
                         object.insert("said_us".to_owned(), at);
                     }
                     object.remove("who");
+                    // Counters are a value of their own within the line.
+                    let status = object.remove("status");
+                    let status = status.and_then(|text| serde_json::from_str::<Value>(text.as_str()?).ok());
+                    if let Some(Value::Object(status)) = status {
+                        object.extend(status);
+                    }
                 }
                 history.note(name, &what, object);
             }
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -36,6 +36,8 @@
     pub zones: usize,
     /// All chance comes from it.
     pub seed: u64,
+    /// Whether each keeps a file for its successor.
+    pub handover: bool,
     /// What the fleet block says beyond names and addresses; without it the processes have none.
     pub fleet: Option<Value>,
     /// Cores that the processes may run on; any unless told.
@@ -51,6 +53,7 @@
             backends: 3,
             zones: 1,
             seed: 1,
+            handover: false,
             fleet: Some(json!({})),
             cores: None,
             history: None,
@@ -125,6 +128,9 @@
             let config = rig.config(plan, i);
             let mut process = Process::new(&name(i), rig.folder.path(), config, rig.history.clone())?;
             process.cores = plan.cores.clone();
+            if plan.handover {
+                process.config["handover"] = process.data().join("handover").display().to_string().into();
+            }
             if let Some(Value::String(data)) = process.config.pointer_mut("/fleet/data") {
                 *data = process.folder.join("data").display().to_string();
             }
--- a/crates/rig/src/schedule.rs
+++ b/crates/rig/src/schedule.rs
@@ -39,6 +39,9 @@
     /// Whether the processes have a fleet block.
     #[serde(default = "yes")]
     pub fleet: bool,
+    /// Whether each keeps a file for its successor.
+    #[serde(default = "yes")]
+    pub handover: bool,
     /// What happens.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
@@ -139,6 +142,18 @@
         /// How far it is ahead at the start, ms.
         ahead_ms: f64,
     },
+    /// The clock is set while the process runs; back again when it is over. What it shows at its next start is what was set.
+    Set {
+        /// These.
+        who: Vec<usize>,
+        /// How far it is ahead from now on, ms.
+        ahead_ms: f64,
+    },
+    /// The disk takes nothing more; it does again when it is over.
+    Full {
+        /// These.
+        who: Vec<usize>,
+    },
     /// A backend acts otherwise.
     Backend {
         /// Its number.
@@ -195,7 +210,18 @@
         });
         let mut faults: Vec<Fault> = drawn.collect();
         faults.sort_by(|a, b| a.at.total_cmp(&b.at));
-        Schedule { seed, processes, backends, zones: 3, seconds, load_per_s: 50.0, fleet: true, faults }
+        let (load_per_s, zones) = (50.0, 3);
+        Schedule {
+            seed,
+            processes,
+            backends,
+            zones,
+            seconds,
+            load_per_s,
+            fleet: true,
+            handover: true,
+            faults,
+        }
     }
 }
 
@@ -210,9 +236,12 @@
             | Act::Link { from, to, .. }
             | Act::Reset { from, to }
             | Act::Halve { from, to, .. } => Box::new(from.iter().chain(to).copied()),
-            Act::Kill { who, .. } | Act::Terminate { who } | Act::Pause { who } | Act::Clock { who, .. } => {
-                Box::new(who.iter().copied())
-            }
+            Act::Kill { who, .. }
+            | Act::Terminate { who }
+            | Act::Pause { who }
+            | Act::Clock { who, .. }
+            | Act::Set { who, .. }
+            | Act::Full { who } => Box::new(who.iter().copied()),
             Act::Backend { .. } => Box::new(std::iter::empty()),
         }
     }
@@ -238,7 +267,7 @@
             4 => Quality { bytes_per_s: Some(100_000.0 * bad), ..Quality::default() },
             _ => Quality { refuse: true, ..Quality::default() },
         };
-        match chance.random_range(0..10) {
+        match chance.random_range(0..11) {
             0 | 1 => Act::Cut { from, to: rest, one_way },
             2 | 3 => Act::Link { from, to: rest, one_way, quality },
             4 => Act::Reset { from, to: rest },
@@ -248,6 +277,13 @@
                 true => Act::Pause { who: some(2, chance) },
                 false => Act::Terminate { who: some(2, chance) },
             },
+            9 => match chance.random_bool(0.5) {
+                true => Act::Full { who: some(2, chance) },
+                false => Act::Set {
+                    who: some(2, chance),
+                    ahead_ms: chance.random_range(-3_600_000.0f64..3_600_000.0).round(),
+                },
+            },
             _ => match chance.random_bool(0.5) {
                 true => Act::Clock {
                     who: some(2, chance),
@@ -288,6 +324,7 @@
         backends: schedule.backends,
         zones: schedule.zones,
         seed: schedule.seed,
+        handover: schedule.handover,
         fleet: schedule.fleet.then(|| json!({})),
         cores,
         history,
@@ -322,6 +359,7 @@
     rig.heal();
     for i in 0..all {
         rig.processes[i].signal(Signal::SIGCONT);
+        rig.processes[i].fill(false)?;
         if rig.processes[i].id().is_none() {
             rig.start_one(i)?;
         }
@@ -425,6 +463,13 @@
                 rig.start_one(i)?;
             }
         }
+        Act::Set { who, ahead_ms } => {
+            for i in who.iter().copied() {
+                let ahead = if begins { *ahead_ms } else { 0.0 };
+                rig.processes[i].reload(|config| config["clock"] = json!({"ahead_ms": ahead}))?;
+            }
+        }
+        Act::Full { who } => who.iter().try_for_each(|i| rig.processes[*i].fill(begins))?,
         Act::Backend { backend, manner } => {
             rig.act(*backend, if begins { manner.clone() } else { Manner::default() });
         }
--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/hints.rs
@@ -162,11 +162,9 @@
             Change::Twin(member) => ("twin", member),
             Change::Displaced(member) => ("displaced", member),
         };
-        super::say(
-            "member",
-            &self.own,
-            json!({"change": what, "member": &*member.name, "number": member.number, "zone": member.zone}),
-        );
+        let Member { name, number, zone, .. } = member;
+        let (own, member, zone) = (self.own.as_str(), &**name, &**zone);
+        tracing::info!(what = "member", name = own, change = what, member, number, zone);
     }
 
     /// Lets the others know how busy this one is.
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -17,11 +17,13 @@
 use tokio::net::{TcpListener, UdpSocket};
 use way::Way;
 
-/// One line of the log, as JSON: the rig and operators' tools read it.
-pub(crate) fn say(what: &str, own: &str, mut more: Value) {
-    more["what"] = what.into();
-    more["name"] = own.into();
-    eprintln!("{more}");
+/// Has the events of the parts that act together written to standard error, each as a line of JSON: the rig and operators'
+/// tools read them.
+fn keep_log() {
+    let lines =
+        tracing_subscriber::fmt().json().flatten_event(true).with_target(false).with_writer(std::io::stderr);
+    // Whoever embeds this may have set another one: then that is written to.
+    let _ = lines.try_init();
 }
 
 /// The fleet as its front door knows it.
@@ -44,6 +46,7 @@
         load: Box<dyn Fn() -> u16>,
         sized: Box<dyn Fn(u32)>,
     ) -> Result<Rc<Fleet>, String> {
+        keep_log();
         let no_listener = |error| format!("fleet.listen: {}: {error}", block.listen);
         let listener = TcpListener::bind(block.listen).await.map_err(no_listener)?;
         let socket = UdpSocket::bind(block.listen).await.map_err(no_listener)?;
@@ -74,7 +77,7 @@
             if let Some(hints) = &self.hints {
                 hints.tell_load((self.load)());
             }
-            say("fleet", &self.block.own, self.status());
+            tracing::info!(what = "fleet", name = self.block.own.as_str(), status = %self.status());
         }
     }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -19,6 +19,8 @@
 const COMPACT: u64 = 1 << 20;
 /// Requests that are kept at most, the file's and this process's own.
 const MOST: usize = 16_384;
+/// After a write that failed, a new file is tried no sooner than this.
+const RETRY: Millis = 1000.0;
 
 /// What is known of one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,7 +34,9 @@
 /// The file, and the requests that it tells of.
 pub struct Handover {
     path: PathBuf,
+    /// None while the disk takes nothing; then a new one is tried at `again`.
     file: Option<File>,
+    again: Millis,
     written: u64,
     clock: Clock,
     /// Of the process before this one.
@@ -59,7 +63,8 @@
             entry.ran |= known.ran;
             entry.end = entry.end.min(known.end);
         }
-        let mut handover = Handover { path, file: None, written: 0, clock, before, own: HashMap::new() };
+        let mut handover =
+            Handover { path, file: None, again: now, written: 0, clock, before, own: HashMap::new() };
         handover.compact()?;
         Ok(handover)
     }
@@ -82,18 +87,42 @@
     }
 
     fn note(&mut self, id: &Rc<str>, known: Known) {
-        if self.file.is_none() {
+        let (now, whole) = (self.clock.now(), self.file.is_some());
+        self.own.insert(id.clone(), known);
+        if self.own.len() > MOST && !whole {
+            self.forget(now);
+        }
+        if !whole && now < self.again {
             return;
         }
-        self.own.insert(id.clone(), known);
-        let wrote = match self.written >= COMPACT || self.own.len() > MOST {
+        let wrote = match !whole || self.written >= COMPACT || self.own.len() > MOST {
             true => self.compact(),
             false => self.append(id, known),
         };
-        if let Err(error) = wrote {
-            // A front door goes on serving; what it promises its successor ends here, and is said to.
-            eprintln!("handover: {}: {error}: nothing more is handed over", self.path.display());
-            (self.file, self.own, self.before) = (None, HashMap::new(), HashMap::new());
+        match (wrote, whole) {
+            (Ok(()), true) => {}
+            (Ok(()), false) => eprintln!("handover: {}: handed over again", self.path.display()),
+            (Err(error), whole) => {
+                // A front door goes on serving. What is in memory still holds; a successor may miss what came last, and
+                // finds it once the disk takes it again.
+                if whole {
+                    eprintln!(
+                        "handover: {}: {error}: nothing more is handed over for now",
+                        self.path.display()
+                    );
+                }
+                (self.file, self.again) = (None, now + RETRY);
+            }
+        }
+    }
+
+    /// Drops what no longer matters, and of more than fits all that may be run again.
+    fn forget(&mut self, now: Millis) {
+        self.before.retain(|_, known| known.end > now - KEPT);
+        self.own.retain(|_, known| known.end > now - KEPT);
+        if self.own.len() > MOST {
+            // Of the rest nothing is promised.
+            self.own.retain(|_, known| known.ran);
         }
     }
 
@@ -108,13 +137,7 @@
 
     /// Writes what still matters to a new file and puts it in the place of the old one.
     fn compact(&mut self) -> io::Result<()> {
-        let now = self.clock.now();
-        self.before.retain(|_, known| known.end > now - KEPT);
-        self.own.retain(|_, known| known.end > now - KEPT);
-        if self.own.len() > MOST {
-            // More than fits within their times: what must not run twice stays, and of the rest nothing is promised.
-            self.own.retain(|_, known| known.ran);
-        }
+        self.forget(self.clock.now());
         let fresh = self.path.with_extension("new");
         let mut text = String::new();
         for (id, known) in self.before.iter().chain(&self.own) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -34,6 +34,47 @@
     assert!(count("asked") >= 200 && count("ran") >= 100, "{} asked, {} ran", count("asked"), count("ran"));
 }
 
+/// Guards what a front door keeps for its successor against a disk that is full for a while, and a running front door against a
+/// clock that is set: it says what it cannot hand over, goes on serving, writes anew once the disk takes it, and what its
+/// predecessor left is still refused to run again.
+#[test]
+fn a_full_disk_and_a_clock_that_is_set_stop_nobody() {
+    let plan = Plan { processes: 2, fleet: None, handover: true, ..Plan::default() };
+    let mut rig = Rig::start(&plan).expect("a rig");
+    let load = rig.load(Pace::default());
+    rig.wait("both taken in", |_| (load.taken_in() == 2).then_some(()));
+    let said = |rig: &mut Rig, text: &str| {
+        rig.wait(text, |rig| {
+            let says = |event: &cometspool_rig::history::Event| {
+                event.who == "n0" && event.text("text").contains(text)
+            };
+            rig.history.read(|events| events.iter().any(says).then_some(()))
+        });
+    };
+    rig.processes[0]
+        .reload(|config| config["clock"] = serde_json::json!({"ahead_ms": -3_600_000}))
+        .expect("told");
+    said(&mut rig, "discovery is at");
+    rig.processes[0].fill(true).expect("a limit");
+    said(&mut rig, "nothing more is handed over for now");
+    let until = load.asked() + 100;
+    rig.wait("more requests", |_| (load.asked() >= until).then_some(()));
+    rig.processes[0].fill(false).expect("no limit");
+    said(&mut rig, "handed over again");
+    let file = std::fs::read_to_string(rig.processes[0].data().join("handover")).expect("the file");
+    let ends: Vec<f64> = file.lines().filter_map(|line| line.split(' ').nth(1)?.parse().ok()).collect();
+    let now =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_millis();
+    // The clock was set back an hour while it ran: its times did not move.
+    let late = |end: &f64| *end > now as f64 - 1_800_000.0;
+    assert!(!ends.is_empty() && ends.iter().all(late), "{file}");
+    rig.processes[0].kill();
+    rig.start_one(0).expect("a start");
+    rig.await_serving();
+    rig.settle(&load);
+    assert_eq!(check::all(&rig.history.events()), []);
+}
+
 /// A counter of the way that a process tells.
 fn way(rig: &Rig, i: usize, name: &str) -> u64 {
     rig.told(i).and_then(|event| event.more["way"][name].as_u64()).unwrap_or_default()
@@ -220,6 +261,8 @@
                 "wipe",
                 "backend",
                 "turned-away",
+                "disk",
+                "signal SIGHUP",
             ],
         ),
     ];
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -62,6 +62,23 @@
     }
 }
 
+/// Guards the sum of trials where more front doors are present than the settings tell, and the told size as the least.
+#[test]
+fn trials_follow_the_front_doors_present_but_never_fewer_than_told() {
+    let trials = |present: u32| {
+        let doors = (0..18).map(|me| {
+            let mut stage = gateway(me, 18, 12);
+            stage.play(0.0, Event::Present(present));
+            let sent = play(&mut stage, (0.0, 60_000.0, 100.0), 0, &|backend| backend.0 == 0);
+            sent.get(&BackendId(0)).copied().unwrap_or(0)
+        });
+        doors.sum::<u32>()
+    };
+    let [told, fewer, more] = [18, 3, 180].map(trials);
+    assert_eq!(fewer, told);
+    assert!(more < told * 2 / 3, "{more} trials where {told} are due to the told size");
+}
+
 /// Guards the return: once a backend is well again it is found out by a request that may be repeated, and has its share
 /// after; one that must not run twice is no trial.
 #[test]
