--- a/crates/record/src/keeper.rs
+++ b/crates/record/src/keeper.rs
@@ -5,6 +5,7 @@
 //! somebody else; a keeper is replaced by a change of the configuration that the log itself holds.
 
 use crate::entry::{Config, Entry, Id, Office, Position};
+use crate::fault::Fault;
 use crate::log::{Note, Shared};
 use crate::machine::{Done, Machine, Replica};
 use crate::store::Found;
@@ -548,7 +549,11 @@
         match (&self.phase, &self.config) {
             (Phase::Empty, _) if names == self.names => {
                 // Whoever says anything else has a record, or knows of one.
-                let empty = self.known.iter().filter(|(id, known)| known.empty && names.contains(&id.name));
+                let anybody = Fault::FoundAnew.is_in();
+                let empty = self
+                    .known
+                    .iter()
+                    .filter(|(id, known)| (known.empty || anybody) && names.contains(&id.name));
                 let mut met: Vec<Id> = empty.map(|(id, _)| id.clone()).collect();
                 // Of several lives under one name the last that was heard is the one that runs.
                 met.sort_by(|a, b| self.known[b].heard.total_cmp(&self.known[a].heard));
@@ -694,7 +699,7 @@
                 PaxosMsg::Prepare(prepare) => (prepare.decided_idx as u64) < cut,
                 _ => false,
             };
-            if lacks {
+            if lacks && !Fault::SendBeyondCut.is_in() {
                 let at = self.position();
                 self.say(from, Body::Outside(at));
                 return;
@@ -919,7 +924,8 @@
 
     /// Takes in entries that are decided.
     fn tail(&mut self, now: f64, from: Id, at: Position, entries: Vec<Entry>, next: Option<Config>) {
-        if at != self.position() || matches!(self.phase, Phase::Empty | Phase::Doubt(_)) {
+        let elsewhere = at != self.position() && !Fault::TailAnywhere.is_in();
+        if elsewhere || matches!(self.phase, Phase::Empty | Phase::Doubt(_)) {
             return;
         }
         self.fetching = Fetching { next: now + self.times.patience / 2.0, ..Fetching::default() };
@@ -990,7 +996,11 @@
             let log = self.log.0.borrow();
             if let Some(config) = self.config.as_ref().filter(|_| matches!(self.phase, Phase::Seated(_))) {
                 let (config, from) = (config.number, log.cut);
-                self.before = Some(Before { config, from, entries: log.entries.clone(), next: next.clone() });
+                let mut entries = log.entries.clone();
+                if Fault::ForgetTail.is_in() {
+                    entries.pop();
+                }
+                self.before = Some(Before { config, from, entries, next: next.clone() });
             }
         }
         if next.seat(&self.id).is_some() {
@@ -1029,7 +1039,7 @@
         self.compact();
         self.note(effects);
         while let Some((number, _)) = self.held.front() {
-            if *number > self.synced {
+            if *number > self.synced && !Fault::SayBeforeWritten.is_in() {
                 break;
             }
             let Some((_, held)) = self.held.pop_front() else { break };
@@ -1074,7 +1084,11 @@
         }
         let (entries, stop) = {
             let log = self.log.0.borrow();
-            (log.decided_from(self.applied).to_vec(), log.stopped().cloned())
+            let entries = match self.leads() && Fault::AnswerBeforeMajority.is_in() {
+                true => log.entries[self.applied.saturating_sub(log.cut) as usize..].to_vec(),
+                false => log.decided_from(self.applied).to_vec(),
+            };
+            (entries, log.stopped().cloned())
         };
         for entry in entries {
             let done = self.replica.apply(&entry);
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod entry;
+pub mod fault;
 mod keeper;
 mod log;
 mod machine;
--- a/crates/record/src/machine.rs
+++ b/crates/record/src/machine.rs
@@ -1,6 +1,7 @@
 //! The state machine over the log: the users' part, and round it the sessions and the record's time.
 
 use crate::entry::{Command, Config, Entry, Office};
+use crate::fault::Fault;
 use crate::wire::Outcome;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -90,7 +91,8 @@
     pub fn known(&self, session: u64, number: u64) -> Option<Outcome> {
         let Some(open) = self.frame.sessions.get(&session) else {
             // Numbers only grow: one below the next was given once and is over.
-            return (session != 0 && session < self.frame.next_session).then_some(Outcome::Expired);
+            let over = session != 0 && session < self.frame.next_session;
+            return (over && !Fault::LateWrites.is_in()).then_some(Outcome::Expired);
         };
         open.answers.get(&number).map(|answer| Outcome::Done(answer.clone()))
     }
@@ -126,11 +128,14 @@
 
     fn carry_out(&mut self, command: &Command) -> Outcome {
         let now = self.frame.now;
+        if Fault::LateWrites.is_in() {
+            self.frame.sessions.entry(command.session).or_default();
+        }
         let Some(session) = self.frame.sessions.get_mut(&command.session) else { return Outcome::Expired };
         session.heard = now;
         session.below = session.below.max(command.below);
         session.answers = session.answers.split_off(&session.below);
-        if let Some(answer) = session.answers.get(&command.number) {
+        if let Some(answer) = session.answers.get(&command.number).filter(|_| !Fault::NoSessions.is_in()) {
             return Outcome::Done(answer.clone());
         }
         if command.number < session.below || command.number >= session.below + WINDOW {
@@ -150,6 +155,11 @@
 
     /// All of it, as bytes.
     pub fn write(&self) -> Vec<u8> {
+        if Fault::StateWithoutSessions.is_in() {
+            let mut frame = self.frame.clone();
+            frame.sessions.values_mut().for_each(|session| session.answers.clear());
+            return postcard::to_stdvec(&(&frame, self.machine.write())).unwrap_or_default();
+        }
         // A vector takes any bytes.
         postcard::to_stdvec(&(&self.frame, self.machine.write())).unwrap_or_default()
     }
--- a/crates/record/src/sim.rs
+++ b/crates/record/src/sim.rs
@@ -6,6 +6,7 @@
 
 use crate::client::{Client, ClientEffect, Ended};
 use crate::entry::Id;
+use crate::fault::Fault;
 use crate::keeper::{Effect, Keeper, Standing, Start, Times};
 use crate::machine::Machine;
 use crate::store::{self, Kept};
@@ -267,7 +268,10 @@
                 let own = &mut self.seats[seat];
                 own.lives += 1;
                 own.disk.file = format!("{seat}/{}", own.lives);
-                let id = Id { name: name(seat), life: self.chance.random() };
+                let mut id = Id { name: name(seat), life: self.chance.random() };
+                if Fault::VoteAfterAmnesia.is_in() {
+                    id.life = seat as u64 + 1;
+                }
                 own.disk.sound = store::head(&Kept { id: id.clone(), file: own.disk.file.clone() });
                 Start::Empty(id, self.names())
             }
--- a/crates/record/src/store.rs
+++ b/crates/record/src/store.rs
@@ -129,6 +129,7 @@
         match next(bytes, at) {
             Next::End => break false,
             Next::Torn => break true,
+
             Next::Damaged => return Err(Damage::Middle(at, bytes.len())),
             Next::Frame(body, end) => {
                 let notes: Vec<Note> =
