--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -84,7 +84,10 @@
 /// under load; the ordinary path keeps its rules throughout.
 #[test]
 fn processes_find_lose_and_find_each_other() {
-    let mut rig = Rig::start(&Plan { processes: 6, ..Plan::default() }).expect("a rig");
+    // With all that the live size paces switched on.
+    let pace = serde_json::json!({"pace": {"discovery": true, "dials": true, "trials": true}});
+    let plan = Plan { processes: 6, fleet: Some(pace), ..Plan::default() };
+    let mut rig = Rig::start(&plan).expect("a rig");
     let load = rig.load(Pace { per_s: 40.0, ..Pace::default() });
     let all = [0, 1, 2, 3, 4, 5];
     rig.agree(&all, "six that know each other");
