--- a/crates/record/src/keeper.rs
+++ b/crates/record/src/keeper.rs
@@ -163,6 +163,8 @@
     writes: u64,
     synced: u64,
     held: VecDeque<(u64, Held)>,
+    /// What was decided when all that it had to write was written.
+    decided_through: u64,
     ticks: u64,
     next_tick: f64,
     /// The office that it holds, and up to when it has said what time passed.
@@ -221,6 +223,7 @@
             writes: 0,
             synced: if durable { 0 } else { u64::MAX },
             held: VecDeque::new(),
+            decided_through: 0,
             ticks: 0,
             next_tick: now,
             office: None,
@@ -600,6 +603,7 @@
         self.applied = index;
         self.config = Some(config);
         self.unheard.clear();
+        self.decided_through = 0;
         self.sit();
     }
 
@@ -632,14 +636,16 @@
         }
     }
 
-    /// What is known here of another's promises: what it said, and what follows from this log, as a leader accepts all that
-    /// others accept in its ballot.
+    /// What is known here of another's promises: what it said, and what follows from this log, as a leader has accepted all that
+    /// is decided in its ballot.
     fn seen_of(&self, other: &Id) -> Seen {
         let seen = self.known.get(other).map(|known| known.seen).unwrap_or_default();
         let own = self.own_seen();
         let led = self.seat_of(other).is_some_and(|seat| seat == own.accepted.0.pid);
         if led && seen.config <= own.config {
-            let implied = Seen { promised: own.accepted.0, ..own };
+            // Entries go out before their leader has written them, but not that they are decided.
+            let decided = self.log.0.borrow().decided;
+            let implied = Seen { promised: own.accepted.0, accepted: (own.accepted.0, decided), ..own };
             return if seen.config < own.config { implied } else { most(seen, implied) };
         }
         seen
@@ -738,11 +744,6 @@
         } else {
             paxos.handle_incoming(message);
         }
-        // What this one accepts in a leader's ballot the leader has accepted too.
-        let after = self.own_seen();
-        if after.accepted != (accepted.0.unwrap_or_default(), accepted.1) && after.accepted.0.pid == seat {
-            self.note_seen(from, Seen { promised: after.accepted.0, ..after });
-        }
     }
 
     /// Keeps what a message tells of its sender's promises.
@@ -1038,18 +1039,29 @@
         }
         self.compact();
         self.note(effects);
-        while let Some((number, _)) = self.held.front() {
-            if *number > self.synced && !Fault::SayBeforeWritten.is_in() {
-                break;
-            }
-            let Some((_, held)) = self.held.pop_front() else { break };
-            self.release(held, effects);
-        }
+        if self.synced >= self.writes {
+            self.decided_through = self.log.0.borrow().decided;
+        }
+        let all = Fault::SayBeforeWritten.is_in();
+        let (ready, held) =
+            std::mem::take(&mut self.held).into_iter().partition(|(number, _)| *number <= self.synced || all);
+        self.held = held;
+        let ready: VecDeque<(u64, Held)> = ready;
+        ready.into_iter().for_each(|(_, held)| self.release(held, effects));
     }
 
     fn note(&mut self, effects: &mut Vec<Effect>) {
-        let notes = std::mem::take(&mut self.log.0.borrow_mut().notes);
-        if !notes.is_empty() && self.durable {
+        let mut log = self.log.0.borrow_mut();
+        // How much is decided is learnt again from others: nothing waits for it, and it goes with what is written next.
+        if log.notes.iter().all(|note| matches!(note, Note::Decided(_))) {
+            let last = log.notes.pop();
+            log.notes.clear();
+            log.notes.extend(last);
+            return;
+        }
+        let notes = std::mem::take(&mut log.notes);
+        drop(log);
+        if self.durable {
             self.writes += 1;
             // A store that begins anew is written anew.
             let anew = notes.iter().any(|note| matches!(note, Note::Begin(..)));
@@ -1070,10 +1082,23 @@
                 Message::SequencePaxos(message) => message.to,
                 Message::BLE(message) => message.to,
             };
-            if let Some(to) = config.at(to) {
-                let held = Held::Send(to.clone(), config.number, Body::Paxos(message));
-                self.held.push_back((self.writes, held));
-            }
+            let Some(to) = config.at(to) else { continue };
+            let waits = |held: &(u64, Held)| matches!(held, (number, Held::Send(id, ..)) if id == to && *number > self.synced);
+            // New entries go out while this disk still writes them, so that all disks write at once: a leader may lose what it has
+            // only proposed. What it counts itself in for is told once it is written.
+            let early = match &message {
+                Message::SequencePaxos(PaxosMessage { msg: PaxosMsg::AcceptDecide(accept), .. }) => {
+                    accept.decided_idx as u64 <= self.decided_through
+                }
+                _ => false,
+            };
+            // Who is there and would lead promises nothing.
+            let free = matches!(message, Message::BLE(_)) || (early && !self.held.iter().any(waits));
+            let number = if free { self.synced } else { self.writes };
+            self.held.push_back((
+                number.min(self.writes),
+                Held::Send(to.clone(), config.number, Body::Paxos(message)),
+            ));
         }
     }
 
