--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -185,20 +185,22 @@
     pub fn await_serving(&mut self) {
         for i in 0..self.processes.len() {
             if self.processes[i].id().is_some() {
-                let name = name(i);
-                self.wait(&format!("{name} serving"), |rig| {
-                    let started = |event: &&Event| event.what == "start" && event.text("process") == name;
-                    rig.history.read(|events| {
-                        let since = events.iter().rposition(|event| started(&event))?;
-                        let serves =
-                            |event: &Event| event.who == name && event.text("text").contains("serving on");
-                        events[since..].iter().any(serves).then_some(())
-                    })
-                });
+                self.wait(&format!("{} serving", name(i)), |rig| rig.serves(i).then_some(()));
             }
         }
     }
 
+    /// Whether process `i` has said since its last start that it serves.
+    pub fn serves(&self, i: usize) -> bool {
+        let name = name(i);
+        let started = |event: &Event| event.what == "start" && event.text("process") == name;
+        let serves = |event: &Event| event.who == name && event.text("text").contains("serving on");
+        self.history.read(|events| {
+            let since = events.iter().rposition(started);
+            since.is_some_and(|since| events[since..].iter().any(serves))
+        })
+    }
+
     /// Waits until `look` finds something; panics with what was due if nothing comes in a wide time.
     pub fn wait<T>(&mut self, what: &str, mut look: impl FnMut(&mut Rig) -> Option<T>) -> T {
         let end = Instant::now() + PATIENCE;
--- a/crates/rig/src/schedule.rs
+++ b/crates/rig/src/schedule.rs
@@ -466,7 +466,14 @@
         Act::Set { who, ahead_ms } => {
             for i in who.iter().copied() {
                 let ahead = if begins { *ahead_ms } else { 0.0 };
-                rig.processes[i].reload(|config| config["clock"] = json!({"ahead_ms": ahead}))?;
+                let clock = json!({"ahead_ms": ahead});
+                if rig.serves(i) {
+                    rig.processes[i].reload(|config| config["clock"] = clock)?;
+                } else {
+                    // One that has just been started may not catch signals yet: SIGHUP would end it. It starts with the new
+                    // clock, or the next start does.
+                    rig.processes[i].config["clock"] = clock;
+                }
             }
         }
         Act::Full { who } => who.iter().try_for_each(|i| rig.processes[*i].fill(begins))?,
