--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -10,8 +10,7 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -58,9 +57,8 @@
     told: Vec<Member>,
     view: View,
     counts: Counts,
-    /// Timers by awake time.
-    timers: BinaryHeap<Reverse<(Moment, u64)>>,
-    dues: BTreeMap<u64, Due>,
+    /// Timers by awake time, as bits (it is never under nought, so they are ordered as it is), and then as they were set.
+    timers: BTreeMap<(u64, u64), Due>,
     timers_set: u64,
     /// When last something happened, ms of the caller's clock, and what of the time since the start this process was awake.
     last: f64,
@@ -83,23 +81,6 @@
     round: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Moment(f64);
-
-impl Eq for Moment {}
-
-impl PartialOrd for Moment {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Moment {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
 /// Collects what the protocol wants done.
 #[derive(Default)]
 struct Wants {
@@ -159,8 +140,7 @@
             told,
             view,
             counts: Counts::default(),
-            timers: BinaryHeap::new(),
-            dues: BTreeMap::new(),
+            timers: BTreeMap::new(),
             timers_set: 0,
             last: now,
             awake: 0.0,
@@ -213,8 +193,8 @@
 
     /// When it wants to be called next, ms of the caller's clock.
     pub fn next(&self) -> Option<f64> {
-        let Reverse((at, _)) = self.timers.peek()?;
-        Some(self.last + (at.0 - self.awake).max(0.0))
+        let ((at, _), _) = self.timers.first_key_value()?;
+        Some(self.last + (f64::from_bits(*at) - self.awake).max(0.0))
     }
 
     /// Moves the time on. Time in which the process did not run does not count: whoever was kept from hearing others
@@ -238,8 +218,7 @@
 
     fn set(&mut self, after: f64, due: Due) {
         self.timers_set += 1;
-        self.timers.push(Reverse((Moment(self.awake + after), self.timers_set)));
-        self.dues.insert(self.timers_set, due);
+        self.timers.insert(((self.awake + after).to_bits(), self.timers_set), due);
     }
 
     fn set_compare(&mut self) {
@@ -257,12 +236,11 @@
     pub fn tick(&mut self, now: f64) -> Vec<Effect> {
         self.advance(now);
         let mut effects = Vec::new();
-        while let Some(Reverse((at, number))) = self.timers.peek().copied() {
-            if at.0 > self.awake + GRAIN {
+        while let Some(first) = self.timers.first_entry() {
+            if f64::from_bits(first.key().0) > self.awake + GRAIN {
                 break;
             }
-            self.timers.pop();
-            let Some(due) = self.dues.remove(&number) else { continue };
+            let due = first.remove();
             if self.gone {
                 continue;
             }
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -9,8 +9,7 @@
 use crate::told::{Change, Counts, Effect};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// What carries between members.
@@ -62,34 +61,6 @@
     Compared { from: usize, bytes: Vec<u8> },
 }
 
-#[derive(Clone, Debug)]
-struct Event {
-    at: f64,
-    order: u64,
-    to: usize,
-    what: What,
-}
-
-impl PartialEq for Event {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Event {}
-
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Event {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.at.total_cmp(&other.at).then(self.order.cmp(&other.order))
-    }
-}
-
 /// A fleet in simulated time.
 pub struct Sim {
     /// The time, ms.
@@ -112,7 +83,8 @@
     addresses: BTreeMap<SocketAddr, usize>,
     times: Times,
     size: u32,
-    events: BinaryHeap<Reverse<Event>>,
+    /// What is to come, by when, as bits (a time is never under nought, so they are ordered as it is), and then by turn.
+    events: BTreeMap<(u64, u64), (usize, What)>,
     order: u64,
     chance: StdRng,
     /// Seats whose tick is due at a time that stands in `events`.
@@ -156,7 +128,7 @@
             addresses: (0..count).map(|seat| (address(seat), seat)).collect(),
             times,
             size: count as u32,
-            events: BinaryHeap::new(),
+            events: BTreeMap::new(),
             order: 0,
             chance,
             ticks: vec![f64::INFINITY; count],
@@ -279,7 +251,7 @@
 
     fn push(&mut self, at: f64, to: usize, what: What) {
         self.order += 1;
-        self.events.push(Reverse(Event { at, order: self.order, to, what }));
+        self.events.insert((at.to_bits(), self.order), (to, what));
     }
 
     fn plan_tick(&mut self, seat: usize) {
@@ -299,35 +271,34 @@
     /// Plays until a time, or until this no longer holds; looked at every 250 ms. Tells whether it ended to hold.
     pub fn run_while(&mut self, end: f64, goes_on: impl Fn(&Sim) -> bool) -> bool {
         let mut look = self.now;
-        while let Some(Reverse(first)) = self.events.peek() {
-            if first.at > end {
+        while let Some(at) = self.events.first_key_value().map(|((at, _), _)| f64::from_bits(*at)) {
+            if at > end {
                 break;
             }
-            if first.at >= look {
-                look = first.at + 250.0;
+            if at >= look {
+                look = at + 250.0;
                 if !goes_on(self) {
                     return true;
                 }
             }
-            if let Some(Reverse(event)) = self.events.pop() {
-                self.now = self.now.max(event.at);
-                self.happen(event);
+            if let Some((_, (to, what))) = self.events.pop_first() {
+                self.now = self.now.max(at);
+                self.happen(at, to, what);
             }
         }
         self.now = self.now.max(end);
         !goes_on(self)
     }
 
-    fn happen(&mut self, event: Event) {
-        let seat = event.to;
-        if matches!(event.what, What::Tick) && event.at >= self.ticks[seat] {
+    fn happen(&mut self, at: f64, seat: usize, what: What) {
+        if matches!(what, What::Tick) && at >= self.ticks[seat] {
             self.ticks[seat] = f64::INFINITY;
         }
         if let Some(until) = self.seats[seat].stopped {
             if self.now < until {
                 // As a socket does: what comes while nobody reads waits, up to a bound.
-                if !matches!(event.what, What::Tick) && self.seats[seat].waiting.len() < 256 {
-                    self.seats[seat].waiting.push(event.what);
+                if !matches!(what, What::Tick) && self.seats[seat].waiting.len() < 256 {
+                    self.seats[seat].waiting.push(what);
                 }
                 return;
             }
@@ -335,7 +306,7 @@
             let waiting = std::mem::take(&mut self.seats[seat].waiting);
             waiting.into_iter().for_each(|what| self.act(seat, what));
         }
-        self.act(seat, event.what);
+        self.act(seat, what);
     }
 
     fn act(&mut self, seat: usize, what: What) {
--- a/crates/record/src/bin/cometspool-record.rs
+++ b/crates/record/src/bin/cometspool-record.rs
@@ -61,9 +61,9 @@
     let mut sim = group(3, 1, disk > 0.0, link, seed);
     (0..3).for_each(|seat| sim.slow_disk(seat, disk));
     // The client finds its leader and opens its session first.
-    ask(&mut sim, 20, 50.0);
+    sim.ask(1000.0, 50.0);
     let (bytes, first) = (sim.acted.bytes, sim.writes.len());
-    ask(&mut sim, WRITES, 50.0);
+    sim.ask(WRITES as f64 * 50.0, 50.0);
     let took = sim.writes[first..].iter().filter_map(|write| Some(write.ended.as_ref()?.0 - write.from));
     let mut took: Vec<f64> = took.map(|took| took - 2.0 * link).collect();
     took.sort_by(f64::total_cmp);
@@ -71,17 +71,10 @@
     [took[took.len() / 2], took[took.len() * 99 / 100], each]
 }
 
-fn ask(sim: &mut Sim, count: usize, gap: f64) {
-    for _ in 0..count {
-        sim.write(0);
-        sim.run_to(sim.now + gap);
-    }
-}
-
 /// From the leader's death to the next promise, with a client that asks every 20 ms.
 fn without_leader(keepers: usize, seed: u64) -> f64 {
     let mut sim = group(keepers, 1, true, 1.4, seed);
-    ask(&mut sim, 50, 20.0);
+    sim.ask(1000.0, 20.0);
     sim.run_to(sim.now + seed as f64 * 37.0 % 300.0);
     if let Some(leader) = sim.leading() {
         sim.kill(leader);
--- a/crates/record/src/client.rs
+++ b/crates/record/src/client.rs
@@ -51,8 +51,6 @@
     next: u64,
     open: BTreeMap<u64, Open>,
     chance: StdRng,
-    /// Writes that were sent again.
-    pub repeats: u64,
 }
 
 impl Client {
@@ -71,7 +69,6 @@
             next: 1,
             open: BTreeMap::new(),
             chance,
-            repeats: 0,
         }
     }
 
@@ -132,7 +129,6 @@
         }
         let (whom, below) = (self.whom(), self.below());
         for (number, open) in self.open.iter_mut().filter(|(_, open)| late(open.sent, patience)) {
-            self.repeats += u64::from(open.times > 0);
             (open.sent, open.times) = (now, open.times + 1);
             let command = Command { session, number: *number, below, bytes: open.bytes.clone() };
             effects.push(ClientEffect::Send(whom.clone(), Request::Write(command)));
--- a/crates/record/src/keeper/agree.rs
+++ b/crates/record/src/keeper/agree.rs
@@ -6,17 +6,13 @@
     pub(super) fn agree(&mut self, from: &Id, config: u32, mut message: Message<Entry>) {
         let (Some(own), Some(seat)) = (self.config.as_ref(), self.seat_of(from)) else { return };
         let (own, own_seat) = (own.number, self.seat_of(&self.id));
-        let (says, is_for) = match &message {
-            Message::SequencePaxos(message) => (message.from, message.to),
-            Message::BLE(message) => (message.from, message.to),
-        };
-        if config != own || says != seat || Some(is_for) != own_seat {
+        if config != own || message.get_sender() != seat || Some(message.get_receiver()) != own_seat {
             return;
         }
         self.witness(from, &message);
         let (cut, length, decided, accepted, ended) = {
             let log = self.log.0.borrow();
-            (log.cut, log.length(), log.decided, (log.accepted, log.accepted_index()), log.stop.is_some())
+            (log.cut, log.length(), log.decided, log.accepted, log.stop.is_some())
         };
         let Phase::Seated(paxos) = &mut self.phase else { return };
         if let Message::SequencePaxos(message) = &message {
@@ -27,8 +23,7 @@
                 _ => false,
             };
             if lacks && !Fault::SendBeyondCut.is_in() {
-                let at = self.position();
-                self.say(from, Body::Outside(at));
+                self.tell_position(from);
                 return;
             }
         }
@@ -59,7 +54,7 @@
         // The library passes over an end that it has accepted and is told again, so an answer that was lost is never made good
         // (0.2.4, `handle_accept_stopsign` and its sequence numbers). To begin anew with the leader says it again.
         let again = matches!(&message, Message::SequencePaxos(message)
-            if matches!(&message.msg, PaxosMsg::AcceptStopSign(stop) if ended && accepted.0 == Some(stop.n)));
+            if matches!(&message.msg, PaxosMsg::AcceptStopSign(stop) if ended && accepted == Some(stop.n)));
         if again {
             paxos.reconnected(seat);
         } else {
--- a/crates/record/src/keeper/begin.rs
+++ b/crates/record/src/keeper/begin.rs
@@ -45,10 +45,7 @@
                 let begin = Body::Begin(config.clone());
                 self.say(&from, begin);
             }
-            _ => {
-                let at = self.position();
-                self.say(&from, Body::Outside(at));
-            }
+            _ => self.tell_position(&from),
         }
     }
 
--- a/crates/record/src/keeper/catch_up.rs
+++ b/crates/record/src/keeper/catch_up.rs
@@ -138,11 +138,9 @@
                     let mut log = self.log.0.borrow_mut();
                     log.notes.clear();
                     if at.index > log.length() {
-                        log.cut_off(at.index);
                         log.accept_by_state();
-                    } else {
-                        log.cut_off(at.index);
                     }
+                    log.cut_off(at.index);
                     log.decided = log.decided.max(at.index);
                 }
                 self.image = Some(Image::new(at, config, state));
@@ -150,14 +148,17 @@
                 self.sit();
             }
             _ if seated => self.begin(config, at.index),
-            _ => {
-                self.image = Some(Image::new(at, config.clone(), state));
-                self.config = Some(config);
-                self.phase = Phase::Learner;
-            }
+            _ => self.follow(at, config, state),
         }
     }
 
+    /// Goes on without a seat, from a state at a position.
+    fn follow(&mut self, at: Position, config: Config, state: Vec<u8>) {
+        self.image = Some(Image::new(at, config.clone(), state));
+        self.config = Some(config);
+        self.phase = Phase::Learner;
+    }
+
     /// The configuration is over, and all of it is in the replica.
     pub(super) fn go_on(&mut self, next: Config) {
         {
@@ -175,13 +176,7 @@
             self.begin(next, 0);
         } else {
             self.applied = 0;
-            self.image = Some(Image::new(
-                Position { config: next.number, index: 0 },
-                next.clone(),
-                self.replica.write(),
-            ));
-            self.config = Some(next);
-            self.phase = Phase::Learner;
+            self.follow(Position { config: next.number, index: 0 }, next, self.replica.write());
             self.log.0.borrow_mut().notes.clear();
         }
     }
--- a/crates/record/src/keeper/mod.rs
+++ b/crates/record/src/keeper/mod.rs
@@ -15,14 +15,14 @@
 use crate::machine::{Done, Machine, Replica};
 use crate::store::Found;
 use crate::transfer::{Before, Fetching, Image};
-use crate::wire::{Answer, Body, Envelope, Outcome, Request, Seen};
+use crate::wire::{Answer, Body, Envelope, Request, Seen};
 use omnipaxos::ballot_leader_election::Ballot;
 use omnipaxos::messages::sequence_paxos::{PaxosMessage, PaxosMsg};
 use omnipaxos::messages::Message;
 use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Times, in ms, and bounds.
 #[derive(Clone, Debug)]
@@ -167,7 +167,7 @@
     said: u64,
     writes: u64,
     synced: u64,
-    held: VecDeque<(u64, Held)>,
+    held: Vec<(u64, Held)>,
     /// What was decided when all that it had to write was written.
     decided_through: u64,
     ticks: u64,
@@ -227,7 +227,7 @@
             said: 0,
             writes: 0,
             synced: if durable { 0 } else { u64::MAX },
-            held: VecDeque::new(),
+            held: Vec::new(),
             decided_through: 0,
             ticks: 0,
             next_tick: now,
@@ -353,7 +353,6 @@
                 effects.push(Effect::Forgotten);
                 return effects;
             }
-
             Phase::Empty if often => self.look_for_others(),
             Phase::Learner if often && self.config.is_some() => {
                 let at = self.position();
@@ -401,7 +400,7 @@
     pub fn request(&mut self, now: f64, client: &str, request: Request) -> Vec<Effect> {
         let mut effects = Vec::new();
         if let Some(answer) = self.ask(client, request) {
-            self.held.push_back((self.writes, Held::Answer(client.to_owned(), answer)));
+            self.held.push((self.writes, Held::Answer(client.to_owned(), answer)));
         }
         self.settle(now, &mut effects);
         effects
@@ -464,8 +463,7 @@
         if config > own || (behind && matches!(self.phase, Phase::Seated(_))) {
             self.fetch_from(now, from);
         } else if config < own {
-            let at = self.position();
-            self.say(from, Body::Outside(at));
+            self.tell_position(from);
         }
     }
 
@@ -476,8 +474,7 @@
                 let seen = self.seen_of(&from);
                 self.say(&from, Body::Saw(seen));
                 if self.config.as_ref().is_some_and(|own| own.number > config) {
-                    let at = self.position();
-                    self.say(&from, Body::Outside(at));
+                    self.tell_position(&from);
                 }
             }
             Body::Saw(seen) => self.was_seen(now, &from, seen, effects),
@@ -530,8 +527,6 @@
                     }
                 }
             }
-            // Clients' words come by their own way.
-            Body::Request(_) | Body::Answer(_) => {}
         }
     }
 }
--- a/crates/record/src/keeper/out.rs
+++ b/crates/record/src/keeper/out.rs
@@ -5,7 +5,13 @@
 impl<M: Machine> Keeper<M> {
     pub(super) fn say(&mut self, to: &Id, body: Body) {
         let config = self.config.as_ref().map_or(0, |config| config.number);
-        self.held.push_back((self.writes, Held::Send(to.clone(), config, body)));
+        self.held.push((self.writes, Held::Send(to.clone(), config, body)));
+    }
+
+    /// Tells somebody who is not as far, or has no seat, how far the record is here.
+    pub(super) fn tell_position(&mut self, to: &Id) {
+        let at = self.position();
+        self.say(to, Body::Outside(at));
     }
 
     /// Notes go to the disk, what is decided into the replica, and what rests on writes that are through goes out.
@@ -25,10 +31,9 @@
             self.decided_through = self.log.0.borrow().decided;
         }
         let all = Fault::SayBeforeWritten.is_in();
-        let (ready, held) =
-            std::mem::take(&mut self.held).into_iter().partition(|(number, _)| *number <= self.synced || all);
+        let due = |(number, _): &(u64, Held)| *number <= self.synced || all;
+        let (ready, held): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held).into_iter().partition(due);
         self.held = held;
-        let ready: VecDeque<(u64, Held)> = ready;
         ready.into_iter().for_each(|(_, held)| self.release(held, effects));
     }
 
@@ -60,12 +65,10 @@
         paxos.take_outgoing_messages(&mut messages);
         let Some(config) = &self.config else { return };
         for message in messages {
-            let to = match &message {
-                Message::SequencePaxos(message) => message.to,
-                Message::BLE(message) => message.to,
+            let Some(to) = config.at(message.get_receiver()) else { continue };
+            let waits = |(number, held): &(u64, Held)| {
+                *number > self.synced && matches!(held, Held::Send(id, ..) if id == to)
             };
-            let Some(to) = config.at(to) else { continue };
-            let waits = |held: &(u64, Held)| matches!(held, (number, Held::Send(id, ..)) if id == to && *number > self.synced);
             // New entries go out while this disk still writes them, so that all disks write at once: a leader may lose what it has
             // only proposed. What it counts itself in for is told once it is written.
             let early = match &message {
@@ -77,10 +80,8 @@
             // Who is there and would lead promises nothing.
             let free = matches!(message, Message::BLE(_)) || (early && !self.held.iter().any(waits));
             let number = if free { self.synced } else { self.writes };
-            self.held.push_back((
-                number.min(self.writes),
-                Held::Send(to.clone(), config.number, Body::Paxos(message)),
-            ));
+            self.held
+                .push((number.min(self.writes), Held::Send(to.clone(), config.number, Body::Paxos(message))));
         }
     }
 
@@ -113,7 +114,7 @@
                 Done::Nothing => continue,
             };
             for client in self.waiting.remove(&key).unwrap_or_default() {
-                self.held.push_back((self.writes, Held::Answer(client, answer.clone())));
+                self.held.push((self.writes, Held::Answer(client, answer.clone())));
             }
         }
         let next = stop.and_then(|stop| postcard::from_bytes::<Config>(&stop.metadata?).ok());
@@ -175,9 +176,4 @@
             }
         }
     }
-
-    /// What a write came to here, if it is known.
-    pub fn outcome(&self, session: u64, number: u64) -> Option<Outcome> {
-        self.replica.known(session, number)
-    }
 }
--- a/crates/record/src/log.rs
+++ b/crates/record/src/log.rs
@@ -93,19 +93,14 @@
     /// Takes in entries that are decided, from a place that lies within it or at its end.
     pub fn learn(&mut self, from: u64, entries: Vec<Entry>) {
         let to = from + entries.len() as u64;
+        // What this one accepted beyond them stays.
+        let beyond = self.entries.get(to.saturating_sub(self.cut) as usize..).unwrap_or_default().to_vec();
         if to > self.length() {
-            self.put(from, entries);
-            self.stop = None;
+            self.note(Note::Stop(None));
             self.accept_by_state();
-        } else {
-            let (from, to) = (from.max(self.cut) - self.cut, to.max(self.cut) - self.cut);
-            let known = entries.len() - (to - from) as usize;
-            self.entries[from as usize..to as usize].clone_from_slice(&entries[known..]);
         }
-        self.decided = self.decided.max(to);
-        self.notes.push(Note::Entries(self.cut, self.entries.clone()));
-        self.notes.push(Note::Stop(self.stop.clone()));
-        self.notes.push(Note::Decided(self.decided));
+        self.note(Note::Entries(from, [entries, beyond].concat()));
+        self.note(Note::Decided(self.decided.max(to)));
     }
 
     fn put(&mut self, from: u64, mut entries: Vec<Entry>) {
--- a/crates/record/src/sim.rs
+++ b/crates/record/src/sim.rs
@@ -8,6 +8,7 @@
 use crate::entry::Id;
 use crate::fault::Fault;
 use crate::keeper::{Effect, Keeper, Standing, Start, Times};
+use crate::log::Note;
 use crate::machine::Machine;
 use crate::store::{self, Kept};
 use crate::wire::{Answer, Envelope, Request};
@@ -365,6 +366,15 @@
         }
     }
 
+    /// Has the clients write in turn, a write each `gap` ms, for a time.
+    pub fn ask(&mut self, span: f64, gap: f64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.write(self.writes.len() % self.clients.len());
+            self.run_to(self.now + gap);
+        }
+    }
+
     /// Writes that were promised.
     pub fn promised(&self) -> usize {
         self.writes.iter().filter(|write| matches!(write.ended, Some((_, Ended::Done(_))))).count()
@@ -482,14 +492,8 @@
     fn carry_out(&mut self, seat: usize, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Write(number, notes) => {
-                    let bytes = store::encode(&notes);
-                    self.written(seat, number, bytes, false);
-                }
-                Effect::Rewrite(number, notes) => {
-                    let bytes = store::encode(&notes);
-                    self.written(seat, number, bytes, true);
-                }
+                Effect::Write(number, notes) => self.written(seat, number, &notes, false),
+                Effect::Rewrite(number, notes) => self.written(seat, number, &notes, true),
                 Effect::Send(to, envelope) => self.send(seat, &to, envelope),
                 Effect::Answer(client, answer) => {
                     let Ok(client) = client.parse::<usize>() else { continue };
@@ -510,8 +514,9 @@
         }
     }
 
-    fn written(&mut self, seat: usize, number: u64, bytes: Vec<u8>, anew: bool) {
-        let own = &mut self.seats[seat];
+    fn written(&mut self, seat: usize, number: u64, notes: &[Note], anew: bool) {
+        let bytes = store::encode(notes);
+        let (own, mut loose) = (&mut self.seats[seat], bytes.len());
         if anew {
             // A new file is put in the place of the old one by a rename: one or the other is there. What was on its way into
             // the old one is in the new one.
@@ -519,14 +524,12 @@
             own.disk.sound = store::head(&Kept { id: keeper.id().clone(), file: own.disk.file.clone() });
             own.disk.sound.extend(bytes);
             own.disk.loose.clear();
-            let (run, at) = (own.run, self.now + own.slow);
-            self.push(at, seat, What::Written(run, number, 0));
-            return;
+            loose = 0;
+        } else {
+            own.disk.loose.extend(bytes);
         }
-        let length = bytes.len();
-        own.disk.loose.extend(bytes);
         let (run, at) = (own.run, self.now + own.slow);
-        self.push(at, seat, What::Written(run, number, length));
+        self.push(at, seat, What::Written(run, number, loose));
     }
 
     fn by_chance(&mut self, part: f64) -> bool {
--- a/crates/record/src/wire.rs
+++ b/crates/record/src/wire.rs
@@ -76,10 +76,6 @@
     Outside(Position),
     /// It has no seat, is this far, and would take one.
     StandsBy(Position),
-    /// A client's.
-    Request(Request),
-    /// A keeper's to a client.
-    Answer(Answer),
 }
 
 /// A word with what is checked before it is heeded.
--- a/crates/record/tests/cases.rs
+++ b/crates/record/tests/cases.rs
@@ -15,17 +15,6 @@
     sim
 }
 
-/// Has all clients write in turn, one write each `gap` ms, for a time; then waits until all of it has ended.
-fn play(sim: &mut Sim, clients: usize, span: f64, gap: f64) {
-    let end = sim.now + span;
-    let mut client = 0;
-    while sim.now < end {
-        sim.write(client);
-        client = (client + 1) % clients;
-        sim.run_to(sim.now + gap);
-    }
-}
-
 fn settle(sim: &mut Sim) {
     let ended =
         sim.run_while(sim.now + 120_000.0, |sim| sim.writes.iter().any(|write| write.ended.is_none()));
@@ -42,7 +31,7 @@
 fn a_quiet_group_promises_every_write_once_and_in_order() {
     for durable in [true, false] {
         let mut sim = group(3, 4, durable, 1);
-        play(&mut sim, 4, 5000.0, 10.0);
+        sim.ask(5000.0, 10.0);
         settle(&mut sim);
         assert_eq!(sim.promised(), sim.writes.len());
         assert!(sim.promised() >= 400, "{}", sim.promised());
@@ -54,10 +43,10 @@
 fn promises_outlive_leaders_minorities_and_all_with_their_disks() {
     let mut sim = group(3, 4, true, 2);
     for round in 0..6 {
-        play(&mut sim, 4, 1000.0, 10.0);
+        sim.ask(1000.0, 10.0);
         let leader = sim.leading().expect("a leader");
         sim.kill(leader);
-        play(&mut sim, 4, 3000.0, 10.0);
+        sim.ask(3000.0, 10.0);
         if round == 3 {
             (0..3).for_each(|seat| sim.kill(seat));
             sim.run_to(sim.now + 500.0);
@@ -79,14 +68,14 @@
     for round in 0..9 {
         let seat = round % 3;
         sim.back_up(seat);
-        play(&mut sim, 4, 1500.0, 10.0);
+        sim.ask(1500.0, 10.0);
         sim.kill(seat);
         match round / 3 {
             0 => sim.wipe(seat),
             1 => sim.put_back(seat, round == 3),
             _ => sim.damage(seat),
         }
-        play(&mut sim, 4, 1500.0, 10.0);
+        sim.ask(1500.0, 10.0);
         sim.start(seat);
         let back = sim.run_while(sim.now + 60_000.0, |sim| {
             let seated = |keeper: &cometspool_record::Keeper<_>| {
@@ -110,12 +99,12 @@
 #[test]
 fn one_that_is_gone_is_replaced_by_one_that_stands_by() {
     let mut sim = group(5, 2, true, 4);
-    play(&mut sim, 2, 2000.0, 10.0);
+    sim.ask(2000.0, 10.0);
     sim.kill(1);
     sim.wipe(1);
     let replaced = sim.run_while(sim.now + 30_000.0, |sim| sim.acted.changes == 0);
     assert!(replaced, "a change of the group");
-    play(&mut sim, 2, 1000.0, 10.0);
+    sim.ask(1000.0, 10.0);
     // The fifth keeper is in the lost one's zone, the fourth in the first one's.
     let config = sim.leading().and_then(|seat| sim.keeper(seat)?.config().cloned()).expect("a leader");
     assert!(config.keepers.iter().any(|id| id.name == "k4"), "{config:?}");
@@ -141,7 +130,7 @@
         for seed in 0..5 {
             let mut sim = Sim::new(count, count, 2, true, times(), seed);
             assert!(sim.run_while(20_000.0, |sim| sim.leading().is_none()), "{shape}: a leader");
-            play(&mut sim, 2, 500.0, 10.0);
+            sim.ask(500.0, 10.0);
             let leader = sim.leading().expect("a leader");
             let seats: Vec<usize> =
                 std::iter::once(leader).chain((0..count).filter(|s| *s != leader)).collect();
@@ -173,7 +162,7 @@
 #[test]
 fn a_lost_majority_promises_nothing_and_founds_nothing() {
     let mut sim = group(3, 2, true, 5);
-    play(&mut sim, 2, 1000.0, 10.0);
+    sim.ask(1000.0, 10.0);
     settle(&mut sim);
     let (before, record) = (sim.promised(), sim.keeper(0).map(|keeper| keeper.record()));
     for seat in [1, 2] {
@@ -200,10 +189,10 @@
 fn a_leader_that_wakes_after_half_a_minute_does_no_harm() {
     let mut sim = group(3, 4, true, 6);
     for _ in 0..3 {
-        play(&mut sim, 4, 1000.0, 5.0);
+        sim.ask(1000.0, 5.0);
         let leader = sim.leading().expect("a leader");
         sim.stop(leader, 30_000.0);
-        play(&mut sim, 4, 40_000.0, 40.0);
+        sim.ask(40_000.0, 40.0);
     }
     settle(&mut sim);
     assert!(sim.acted.leaders >= 3, "{:?}", sim.acted);
@@ -241,9 +230,9 @@
 fn a_group_in_memory_takes_a_restarted_keeper_for_somebody_else() {
     let mut sim = group(3, 2, false, 8);
     for seat in [0, 1, 2, 0] {
-        play(&mut sim, 2, 1000.0, 10.0);
+        sim.ask(1000.0, 10.0);
         sim.kill(seat);
-        play(&mut sim, 2, 2000.0, 10.0);
+        sim.ask(2000.0, 10.0);
         let changes = sim.acted.changes;
         sim.start(seat);
         assert!(
--- a/crates/record/tests/faults.rs
+++ b/crates/record/tests/faults.rs
@@ -12,14 +12,6 @@
     std::panic::catch_unwind(play).map_or(true, |sim| !sim.broken().is_empty() || stuck(&sim))
 }
 
-fn ask(sim: &mut Sim, span: f64) {
-    let end = sim.now + span;
-    while sim.now < end {
-        sim.write(sim.writes.len() % 4);
-        sim.run_to(sim.now + 10.0);
-    }
-}
-
 /// Sessions that end soon, and words that come much later.
 fn late(seed: u64) -> Sim {
     let mut sim = Sim::new(3, 3, 4, true, Times { session: 200, passed: 200.0, ..Times::default() }, seed);
@@ -36,7 +28,7 @@
 fn lost(seed: u64) -> Sim {
     let mut sim = Sim::new(3, 3, 4, true, Times { replace: 5000.0, ..Times::default() }, seed);
     sim.run_while(20_000.0, |sim| sim.leading().is_none());
-    ask(&mut sim, 1000.0);
+    sim.ask(1000.0, 10.0);
     sim.run_to(sim.now + 1000.0);
     sim.cuts.extend([(0, 2), (1, 2)]);
     for seat in [0, 1] {
@@ -44,7 +36,7 @@
         sim.wipe(seat);
         sim.start(seat);
     }
-    ask(&mut sim, 20_000.0);
+    sim.ask(20_000.0, 10.0);
     sim
 }
 
