Move inline unit tests into files of their own

Need: files of the program were up to half tests. Change: each inline test module stands in tests.rs beside its file, word for word, dedented; no assertion differs.

--- /dev/null
+++ b/src/bin/cometspool-drill/codec/tests.rs
@@ -0,0 +1,99 @@
+//! Unit tests of `codec.rs`.
+
+use super::*;
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap()).collect()
+}
+
+#[test]
+fn an_arrival_an_alarm_and_a_client_gone_are_read() {
+    let payload =
+        hex("00000000 00408f40 0201 02000000 05000000 00000040 00000000 0900000000000000 0000000000007940 \
+         01000000 00004040 02 06   0601 02000000 4d00000000000000   0501 07000000 05000000");
+    let (clock, records) = decode(&payload).unwrap();
+    assert_eq!(clock, 1000.0);
+    let arrival = Record::Ingress {
+        id: 5,
+        doors: 2.0,
+        customer: 9,
+        deadline: 400.0,
+        plan: 1,
+        units: 3.0,
+        class: 2,
+        again: true,
+    };
+    assert_eq!(
+        records,
+        vec![(2, arrival), (2, Record::Alarm { name: 77 }), (7, Record::ClientGone { id: 5 })]
+    );
+}
+
+#[test]
+fn a_settled_attempt_and_a_list_are_read() {
+    let payload = hex(
+        "0000000000000000 0401 01000000 05000000 0100 0b000000 0300 0000000000003440 01 6500 0300 01 0000003f \
+         0101 01000000 01 29000000 01000000 01 0000000000005940 0b000000 0200 00 01 0000803f",
+    );
+    let (_, records) = decode(&payload).unwrap();
+    let settled = Outcome {
+        id: 5,
+        attempt: 1,
+        backend: 11,
+        outcome: 3,
+        waited: 20.0,
+        closed: true,
+        used: 101,
+        actual: 3,
+        stats: vec![0.5],
+    };
+    let entry = Entry { zone: 1, came_up: 100.0, backend: 11, cell: 2, availability: 1, size: 1.0 };
+    assert_eq!(records[0].1, Record::Settled(settled));
+    assert_eq!(records[1].1, Record::Roster { kind: 1, entries: vec![entry] });
+}
+
+#[test]
+fn what_this_design_does_not_use_is_still_read_whole() {
+    let payload = hex(
+        "0000000000000000 0801 01000000 02000000 0200 6869   0a01 01000000 000000000000f03f 0100000000000000 \
+         0000803f 0000   0301 01000000 05000000 0000000000003440 0000 0b000000   0901 01000000",
+    );
+    let (_, records) = decode(&payload).unwrap();
+    let kinds: Vec<Record> = records.into_iter().map(|(_, record)| record).collect();
+    assert_eq!(kinds, vec![Record::Unused, Record::Unused, Record::FirstByte { id: 5 }, Record::Retire]);
+}
+
+#[test]
+fn a_record_that_overruns_and_an_unknown_code_are_told_with_place_and_code() {
+    let overrun = decode(&hex("0000000000000000 0601 01000000 4d0000")).unwrap_err();
+    assert_eq!((overrun.offset, overrun.code), (14, Some(262)));
+    let unknown = decode(&hex("0000000000000000 ff01 01000000")).unwrap_err();
+    assert_eq!(unknown.to_string(), "malformed frame at offset 14, code 511: unknown event code");
+    assert!(decode(&hex("0000")).is_err());
+}
+
+#[test]
+fn every_action_has_its_code_and_length() {
+    let mut reply = Reply::default();
+    reply.send(3, 5, 9, 80.0);
+    reply.refuse(3, 5, 0.0);
+    reply.fail(3, 5);
+    reply.call_off(3, 5, 1);
+    reply.set_alarm(3, 10.0, 77);
+    reply.probe(3, 9);
+    reply.close_idle(3, 9);
+    reply.log(3, "hi");
+    reply.broken(3, "no");
+    reply.subscribe(3);
+    reply.fetch_list(3);
+    let expected =
+        hex("4001 03000000 05000000 09000000 0000000000005440   4101 03000000 05000000 0000000000000000 \
+         4201 03000000 05000000   4301 03000000 05000000 0100   4401 03000000 0000000000002440 \
+         4d00000000000000   4501 03000000 09000000   4601 03000000 09000000   4801 03000000 0200 6869 \
+         4901 03000000 0200 6e6f   4a01 03000000 01   4b01 03000000");
+    let frame = reply.into_frame();
+    assert_eq!(frame[..4], (4 + expected.len() as u32).to_le_bytes());
+    assert_eq!(frame[4..8], 11u32.to_le_bytes());
+    assert_eq!(frame[8..], expected);
+}
--- a/src/net/answers.rs
+++ b/src/net/answers.rs
@@ -164,17 +164,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards load reports: the values that the settings name are read, whatever stands between them.
-    #[test]
-    fn a_load_report_is_read_by_its_names() {
-        let names = vec!["depth".to_owned(), "load_share".to_owned()];
-        let metrics = vec![Metric::Queue, Metric::Utilisation];
-        let reading = Reading { names, metrics, max_units: 8.0, room: Room(Arc::default()) };
-        let report = reading.report("other=3, depth=2,load_share=0.61,broken");
-        assert_eq!((report.queue, report.in_flight), (Some(2.0), None));
-        assert!((report.utilisation.unwrap() - 0.61).abs() < 1e-6);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/backends/tests.rs
@@ -0,0 +1,287 @@
+//! Unit tests of `backends.rs`.
+
+use super::super::budget::Budget;
+use super::super::traffic::Presence;
+use super::*;
+use cometspool::settings::{self, Links};
+use hyper::body::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Uri};
+use socket2::SockRef;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Longest time that a scene may take.
+const SCENE: Duration = Duration::from_secs(20);
+
+/// Time that no attempt of these scenes uses up.
+fn long() -> Allowance {
+    let now = Clock::new().now();
+    Budget::told("20", now, 20_000.0).and_then(|budget| budget.attempt(now, None)).expect("time")
+}
+
+fn way() -> Way {
+    let links = Links { dial_timeout: 20_000.0, idle_close: 600_000.0, ..Links::default() };
+    let told = settings::parse("extra.max_units=8").expect("settings");
+    let (clock, reading) = (Clock::new(), Rc::new(Reading::new(&told, 0)));
+    Way { pools: Rc::new(Pools::new(links, 8, 1, 1, clock)), reading, clock }
+}
+
+#[derive(Debug)]
+struct Stays;
+
+impl Presence for Stays {
+    fn left(&self) -> bool {
+        false
+    }
+}
+
+fn order() -> Order {
+    let value = HeaderValue::from_static("id-1");
+    Order {
+        client: Rc::new(Stays),
+        id: "id-1".into(),
+        id_value: value.clone(),
+        host: value,
+        method: Method::POST,
+        uri: Uri::from_static("/charge"),
+        key: None,
+        content_type: None,
+        body: Bytes::from_static(b"hello"),
+    }
+}
+
+/// Reads until the request has come up to its last byte but one, or whole.
+async fn receive(stream: &mut TcpStream, to: &[u8]) {
+    let mut got = Vec::new();
+    while !got.ends_with(to) {
+        assert!(stream.read_buf(&mut got).await.expect("a request") > 0, "ended");
+    }
+}
+
+/// Guards requests that must not run twice against connections that are dead unseen, kept or new: the reset
+/// answers the bytes before the last, so nothing ran. A kept one has the next connection stand in for it
+/// within the attempt; a new one ends it as never run.
+#[test]
+fn what_a_dead_connection_swallows_has_not_run() {
+    let ends = play(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let backend = tokio::task::spawn_local(async move {
+            let (mut kept, _) = listener.accept().await.expect("a connection");
+            serve(&mut kept, "one").await;
+            receive(&mut kept, b"hell").await;
+            reset(kept);
+            let (mut fresh, _) = listener.accept().await.expect("a connection in its place");
+            serve(&mut fresh, "two").await;
+            receive(&mut fresh, b"hell").await;
+            reset(fresh);
+            let (mut fresh, _) = listener.accept().await.expect("a connection in its place");
+            receive(&mut fresh, b"hell").await;
+            reset(fresh);
+        });
+        let (way, order, id) = (way(), order(), BackendId(1));
+        way.pools.open(id, address, 0.0);
+        let mut ends = Vec::new();
+        for _ in 0..3 {
+            ends.push(attempt(&way, id, &order, long(), Care::Once, &Line::default()).await);
+        }
+        backend.await.expect("a backend that saw what it waited for");
+        ends
+    });
+    let told: Vec<_> = ends.iter().map(|end| (end.outcome, end.body.as_ref(), end.broken)).collect();
+    assert_eq!(
+        told,
+        [(Outcome::Ok, &b"one"[..], 0), (Outcome::Ok, b"two", 1), (Outcome::ConnectFailed, b"", 2)]
+    );
+}
+
+/// Guards requests that must not run twice against connections that only look alive: where kept ones of some age
+/// have taken a request and broken, such a request gets a new one, and others go on finding out.
+#[test]
+fn what_must_not_run_twice_takes_no_connection_of_an_age_that_fails() {
+    let old = Duration::from_millis(300);
+    play(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let backend = tokio::task::spawn_local(async move {
+            for _ in 0..3 {
+                let (mut failing, _) = listener.accept().await.expect("a connection");
+                serve(&mut failing, "good").await;
+                receive(&mut failing, b"hello").await;
+                reset(failing);
+            }
+            let (mut old, _) = listener.accept().await.expect("a connection");
+            serve(&mut old, "first").await;
+            let (mut new, _) = listener.accept().await.expect("a new connection");
+            serve(&mut new, "on a new one").await;
+            serve(&mut new, "on a kept one").await;
+            drop(old);
+        });
+        let (way, order, id, line) = (way(), order(), BackendId(1), Line::default());
+        way.pools.open(id, address, 0.0);
+        let send = |care| attempt(&way, id, &order, long(), care, &line);
+        for _ in 0..3 {
+            assert_eq!(send(Care::Usual).await.outcome, Outcome::Ok);
+            way.pools.age(old);
+            assert_eq!(send(Care::Usual).await.outcome, Outcome::Reset);
+        }
+        assert_eq!(send(Care::Usual).await.body, "first");
+        way.pools.age(old);
+        assert_eq!(send(Care::Once).await.body, "on a new one");
+        way.pools.age(old);
+        assert_eq!(send(Care::Usual).await.body, "on a kept one");
+        backend.await.expect("a backend that saw what it waited for");
+    });
+}
+
+/// Guards reuse: a request whose dial hangs takes the link of another that comes free first.
+#[test]
+fn a_request_whose_dial_hangs_takes_a_link_that_comes_free() {
+    play(async {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let way = way();
+        way.pools.open(BackendId(1), address, 0.0);
+        let begin = |way: &Way| {
+            let way = way.clone();
+            tokio::task::spawn_local(async move {
+                let (id, line) = (BackendId(1), Line::default());
+                attempt(&way, id, &order(), long(), Care::Usual, &line).await
+            })
+        };
+        let first = begin(&way);
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        receive(&mut stream, b"hello").await;
+        // The waiting line of the listener is full: a further dial hangs.
+        let _fillers = [TcpStream::connect(address).await, TcpStream::connect(address).await];
+        let second = begin(&way);
+        tokio::task::yield_now().await;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none").await.expect("a reader");
+        assert_eq!(first.await.expect("an end").body, "one");
+        serve(&mut stream, "two").await;
+        assert_eq!(second.await.expect("an end").body, "two");
+    });
+}
+
+/// Guards dials against waste: one whose request has left comes up for the next.
+#[test]
+fn a_dial_whose_request_has_left_is_kept() {
+    play(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let way = way();
+        way.pools.open(BackendId(1), listener.local_addr().expect("an address"), 0.0);
+        let (order, line) = (order(), Line::default());
+        let send = || attempt(&way, BackendId(1), &order, long(), Care::Usual, &line);
+        tokio::select! {
+            biased;
+            _ = send() => panic!("answered by nobody"),
+            () = std::future::ready(()) => {}
+        }
+        let (mut stream, _) = listener.accept().await.expect("the dial");
+        // Told as up to the pool, too.
+        while way.pools.idle(BackendId(1)) == 0 {
+            tokio::task::yield_now().await;
+        }
+        let (ended, ()) = tokio::join!(send(), serve(&mut stream, "kept"));
+        assert_eq!(ended.body, "kept");
+    });
+}
+
+/// Guards against links to what a backend was before: a new address or a new start ends those that are kept, and the
+/// next request goes to where it is now.
+#[test]
+fn a_backend_that_moves_or_restarts_is_dialled_anew() {
+    play(async {
+        let places = [0, 1].map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let places = places.map(|place| {
+            place.set_nonblocking(true).expect("a listener");
+            tokio::net::TcpListener::from_std(place).expect("a listener")
+        });
+        let addresses = [0, 1].map(|i: usize| places[i].local_addr().expect("an address"));
+        let (way, order, line) = (way(), order(), Line::default());
+        let send = || attempt(&way, BackendId(1), &order, long(), Care::Once, &line);
+        let mut before: Option<TcpStream> = None;
+        for (place, born) in [(0, 0.0), (0, 5.0), (1, 5.0)] {
+            way.pools.open(BackendId(1), addresses[place], born);
+            let answer = async {
+                let (mut stream, _) = places[place].accept().await.expect("a new connection");
+                serve(&mut stream, "here").await;
+                stream
+            };
+            let (ended, stream) = tokio::join!(send(), answer);
+            assert_eq!(ended.body, "here");
+            if let Some(mut old) = before.replace(stream) {
+                assert_eq!(old.read(&mut [0]).await.ok(), Some(0), "a link to what was there before");
+            }
+        }
+    });
+}
+
+/// Guards against a backend that ends each connection with its answer: each request costs a dial, and none fails.
+#[test]
+fn a_backend_that_closes_after_each_answer_costs_a_dial_each() {
+    play(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (way, order, line) = (way(), order(), Line::default());
+        way.pools.open(BackendId(1), listener.local_addr().expect("an address"), 0.0);
+        for care in [Care::Usual, Care::Once, Care::Proof] {
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.expect("a new connection");
+                receive(&mut stream, b"hello").await;
+                let answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+                stream.write_all(answer).await.expect("a reader");
+            };
+            let sent = attempt(&way, BackendId(1), &order, long(), care, &line);
+            let (ended, ()) = tokio::join!(sent, answer);
+            assert_eq!((ended.outcome, ended.broken), (Outcome::Ok, 0), "{care:?}");
+        }
+    });
+}
+
+/// Guards a table of connections that is full: a first request that is turned away on a new connection brings down what
+/// is held there, and is no more than a backend that is full.
+#[test]
+fn a_new_connection_turned_away_is_a_full_backend() {
+    play(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (way, order, line) = (way(), order(), Line::default());
+        way.pools.open(BackendId(1), listener.local_addr().expect("an address"), 0.0);
+        let before = way.pools.most(BackendId(1));
+        let answer = async {
+            let (mut stream, _) = listener.accept().await.expect("a new connection");
+            receive(&mut stream, b"hello").await;
+            let answer = b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(answer).await.expect("a reader");
+        };
+        let sent = attempt(&way, BackendId(1), &order, long(), Care::Usual, &line);
+        let (ended, ()) = tokio::join!(sent, answer);
+        assert_eq!(ended.outcome, Outcome::Full);
+        assert!(
+            before > 10 && way.pools.most(BackendId(1)) == 1,
+            "{before}, {}",
+            way.pools.most(BackendId(1))
+        );
+    });
+}
+
+async fn serve(stream: &mut TcpStream, body: &str) {
+    receive(stream, b"hello").await;
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(answer.as_bytes()).await.expect("a reader");
+}
+
+/// Plays a scene on one thread, within a time that only a fault uses up.
+fn play<T>(scene: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    let all = async { tokio::time::timeout(SCENE, scene).await };
+    runtime.block_on(local.run_until(all)).expect("an end in time")
+}
+
+fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+}
--- /dev/null
+++ b/src/net/fleet/frame/tests.rs
@@ -0,0 +1,86 @@
+//! Unit tests of `frame.rs`.
+
+use super::*;
+use proptest::prelude::*;
+use serde::Deserialize;
+
+fn seal() -> Seal {
+    Seal::new("fleet", 7, 1000)
+}
+
+fn decoded(bytes: &[u8]) -> Result<Option<Frame>, Foreign> {
+    seal().decode(&mut BytesMut::from(bytes)).map_err(|broken| match broken {
+        Broken::Foreign(foreign) => foreign,
+        Broken::Io(error) => panic!("{error}"),
+    })
+}
+
+/// Guards the order of the checks: each is made on the head alone, before a body is there.
+#[test]
+fn what_is_not_ours_is_refused_by_its_head_alone() {
+    let other = |seal: Seal, body: usize| {
+        seal.frame(Kind::Compare, &vec![0; body]).expect("it fits")[..HEAD].to_vec()
+    };
+    let newer = seal().sealed(VERSION + 2, 1, &[1; 9]).expect("it fits");
+    let cases = [
+        (b"GET / HTTP/1.1\r\nHost: somebody\r\n".to_vec(), Foreign::Mark),
+        (newer[..HEAD].to_vec(), Foreign::Version(VERSION + 2)),
+        (other(Seal::new("another", 7, 1000), 9), Foreign::Fleet),
+        (other(Seal::new("fleet", 6, 1000), 9), Foreign::Generation(6)),
+        (other(Seal::new("fleet", 7, 2000), 1001), Foreign::Size(1001)),
+    ];
+    for (bytes, expected) in cases {
+        assert_eq!(decoded(&bytes), Err(expected));
+    }
+    let mut damaged = seal().frame(Kind::Beat, b"body").expect("it fits").to_vec();
+    assert_eq!(decoded(&damaged).expect("a frame").expect("a whole one").body(), b"body");
+    damaged[HEAD] ^= 1;
+    assert_eq!(decoded(&damaged), Err(Foreign::Checksum));
+    assert_eq!(seal().frame(Kind::Beat, &[0; 1001]), None);
+}
+
+/// Guards two versions side by side, by the rule that the module's page states.
+#[test]
+fn frames_of_the_next_version_and_of_the_one_before_pass() {
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    struct Before(String, u32);
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    struct Now(String, u32, Option<String>, u64);
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    struct Next(String, u32, Option<String>, u64, Vec<u8>);
+    let passed = |version: u16, body: Vec<u8>| {
+        let bytes = seal().sealed(version, 1, &body).expect("it fits");
+        decoded(&bytes).expect("ours").expect("whole").read::<Now>()
+    };
+    let now = |text: Option<&str>, number| Some(Now("a".into(), 300, text.map(str::to_owned), number));
+    assert_eq!(passed(VERSION, body(&Now("a".into(), 300, Some("b".into()), 5))), now(Some("b"), 5));
+    assert_eq!(passed(VERSION - 1, body(&Before("a".into(), 300))), now(None, 0));
+    assert_eq!(
+        passed(VERSION + 1, body(&Next("a".into(), 300, Some("b".into()), 5, vec![9; 70]))),
+        now(Some("b"), 5)
+    );
+    // Within a version nothing may be over or missing.
+    assert_eq!(passed(VERSION, body(&Next("a".into(), 300, None, 5, vec![9; 70]))), None);
+    assert_eq!(passed(VERSION, body(&Before("a".into(), 300))), None);
+    let unknown = seal().sealed(VERSION + 1, 999, b"?").expect("it fits");
+    assert_eq!(decoded(&unknown).expect("ours").expect("whole").kind, None);
+}
+
+proptest! {
+    /// Guards against whatever comes from outside, in pieces of any size.
+    #[test]
+    fn arbitrary_bytes_end_in_a_frame_or_a_reason(bytes in prop::collection::vec(any::<u8>(), 0..200), good in any::<bool>()) {
+        let mut stream = BytesMut::new();
+        if good {
+            stream.extend_from_slice(&seal().frame(Kind::Beat, &bytes).expect("it fits"));
+            let frame = seal().decode(&mut stream).expect("ours").expect("whole");
+            prop_assert_eq!(frame.body(), &bytes[..]);
+        } else {
+            stream.extend_from_slice(&bytes);
+            if let Ok(found) = seal().decode(&mut stream) {
+                prop_assert!(found.is_none() && bytes.len() < HEAD);
+            }
+            let _ = seal().datagram(&bytes);
+        }
+    }
+}
--- a/src/net/room.rs
+++ b/src/net/room.rs
@@ -29,16 +29,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards the machine's limits: what binds is the scarcer of descriptors and memory.
-    #[test]
-    fn links_fit_descriptors_and_memory() {
-        assert_eq!(budget(256, 32 << 20), 92);
-        assert_eq!(budget(1024, 32 << 20), 170);
-        assert_eq!(budget(1024, 192 << 20), 400);
-        assert_eq!(budget(32, 1 << 20), 3);
-        assert_eq!(client_budget(256), 140);
-    }
-}
+mod tests;
