Read answers without a length to their end, and begin keyed repeats within their window

Change: an answer without a length is read until its connection ends; a reset or a bound fails the attempt, and its connection carries nothing more. Memory for answers of unknown length is set aside as they grow, not 1 MiB at once. Action::Send tells the time before which an attempt has to reach its backend; that, and whether the client is still there, is asked before the first byte and before the last byte of a request that was not written at once (permit.rs). Where two attempts were out, the window counts from the one sent first. `way` becomes `transport` in backends.rs.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -395,6 +395,8 @@
         backend: BackendId,
         /// Its time-out.
         limit: Option<Millis>,
+        /// The time before which it has to reach the backend, if there is one: later it could run a second time.
+        begin_before: Option<Millis>,
         /// What is done lest a broken connection takes the request along.
         care: Care,
     },
--- a/src/net/answers.rs
+++ b/src/net/answers.rs
@@ -1,4 +1,7 @@
 //! What a backend's answer proves and tells, read within bounds of memory.
+//!
+//! An answer that tells its length, or comes in chunks, is whole with its last byte. One without either ends with its
+//! connection (RFC 9112, 6.3): it is whole where that is closed in order, and cut where it is reset.
 
 use super::traffic::{Ended, LONGEST_BODY};
 use cometspool::settings::{self, Metric, Told};
@@ -12,9 +15,9 @@
 
 /// Longest body of an answer at all. Backends are met that send far more than the agreed 64 KiB, and their good
 /// answers are worth passing on; one that is said to be longer than this is none.
-const LONGEST_ANSWER: u64 = 1 << 20;
+const LONGEST_ANSWER: usize = 1 << 20;
 /// Part of the memory that long answers may take together, from the first byte read to the last one written.
-const ROOM_PART: usize = 4;
+const BUDGET_PART: usize = 4;
 /// A use over this many percent of a rate is no figure to go by.
 const MOST_USAGE: f64 = 100_000.0;
 
@@ -25,36 +28,63 @@
 
 /// The memory that long answers may still take.
 #[derive(Clone)]
-struct Room(Arc<AtomicUsize>);
-
-impl Room {
-    /// Sets `length` bytes aside; `None` if there is no room for them.
-    fn take(&self, length: usize) -> Option<Share> {
-        let left = self.0.load(Ordering::Relaxed).checked_sub(length)?;
-        self.0.store(left, Ordering::Relaxed);
-        Some(Share { length, room: self.clone(), body: Bytes::new() })
+struct MemoryBudget(Arc<AtomicUsize>);
+
+impl MemoryBudget {
+    fn new(bytes: usize) -> MemoryBudget {
+        MemoryBudget(Arc::new(AtomicUsize::new(bytes)))
+    }
+
+    /// Nothing set aside yet.
+    fn reservation(&self) -> Reservation {
+        Reservation { bytes: 0, budget: self.clone() }
     }
 }
 
-/// A long answer with the room that it takes, given back when the last byte of it is dropped.
-struct Share {
-    length: usize,
-    room: Room,
-    body: Bytes,
+/// Memory set aside for one long answer, given back when it is dropped.
+struct Reservation {
+    bytes: usize,
+    budget: MemoryBudget,
 }
 
-impl AsRef<[u8]> for Share {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
+impl Reservation {
+    /// Sets aside `bytes` in all; whether there was memory for them.
+    fn grow_to(&mut self, bytes: usize) -> bool {
+        let missing = bytes.saturating_sub(self.bytes);
+        let available = &self.budget.0;
+        let Some(left) = available.load(Ordering::Relaxed).checked_sub(missing) else { return false };
+        available.store(left, Ordering::Relaxed);
+        self.bytes += missing;
+        true
     }
 }
 
-impl Drop for Share {
+impl Drop for Reservation {
     fn drop(&mut self) {
-        self.room.0.fetch_add(self.length, Ordering::Relaxed);
+        self.budget.0.fetch_add(self.bytes, Ordering::Relaxed);
     }
 }
 
+/// A long answer with the memory set aside for it, which is given back with the last reference to it.
+struct ReservedBody {
+    body: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+/// An answer that came whole.
+pub struct Received {
+    /// What it proves and tells.
+    pub ended: Ended,
+    /// Whether its end shows in itself, so that its connection may carry another request.
+    pub delimited: bool,
+}
+
 /// How answers are read.
 pub struct Reading {
     /// Names of their values.
@@ -63,7 +93,7 @@
     pub metrics: Vec<Metric>,
     /// Most units of a request, by the settings.
     pub max_units: f64,
-    room: Room,
+    budget: MemoryBudget,
 }
 
 impl Reading {
@@ -73,7 +103,7 @@
             names: told.names.metrics.clone(),
             metrics: told.metrics.clone(),
             max_units: told.settings.max_units,
-            room: Room(Arc::new(AtomicUsize::new(memory / ROOM_PART))),
+            budget: MemoryBudget::new(memory / BUDGET_PART),
         }
     }
 
@@ -89,57 +119,58 @@
     }
 }
 
-/// Reads a whole answer; `None` if the connection ends before it does, or if nobody could tell that it is whole: an
-/// answer that ends with its connection may have been cut. After 101 the connection speaks something else.
-pub async fn read(reading: &Reading, answer: Response<Incoming>) -> Option<Ended> {
+/// Reads a whole answer; `None` if its connection breaks before the end, or if it is longer than there is memory for. After
+/// 101 the connection speaks something else: that is no answer.
+pub async fn read(reading: &Reading, answer: Response<Incoming>) -> Option<Received> {
     let (head, body) = answer.into_parts();
-    let measured = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
-    if !measured || head.status.is_informational() {
+    if head.status.is_informational() {
         return None;
     }
-    let body = whole_body(&reading.room, body).await?;
+    let delimited = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    let body = read_body(&reading.budget, body).await?;
     let outcome = outcome(head.status, &head.headers);
-    Some(Ended {
+    let ended = Ended {
         outcome,
         body: if outcome == Outcome::Ok { body } else { Bytes::new() },
         used: number(&head.headers, &API_USAGE, MOST_USAGE).map(|percent| percent / 100.0),
         charge: number(&head.headers, &API_CHARGE, reading.max_units),
         report: text(&head.headers, &SERVER_LOAD).map(|text| reading.report(text)).unwrap_or_default(),
         broken: 0,
-    })
+    };
+    Some(Received { ended, delimited })
 }
 
 /// Reads a body to its end, within the bounds on one answer and on all.
-async fn whole_body(room: &Room, mut body: Incoming) -> Option<Bytes> {
-    let told = body.size_hint().exact();
-    if told.is_some_and(|length| length > LONGEST_ANSWER) {
-        return None;
+async fn read_body(budget: &MemoryBudget, body: Incoming) -> Option<Bytes> {
+    match body.size_hint().exact() {
+        Some(length) if length > LONGEST_ANSWER as u64 => None,
+        Some(length) if length <= LONGEST_BODY as u64 => Some(body.collect().await.ok()?.to_bytes()),
+        length => read_long_body(budget, body, length).await,
     }
-    // In chunks no length is told: once it proves long, the whole bound is set aside.
-    let most = usize::try_from(told.unwrap_or(LONGEST_ANSWER)).ok()?;
-    if told.is_some() && most <= LONGEST_BODY {
-        return Some(body.collect().await.ok()?.to_bytes());
+}
+
+/// Reads a body that is long or whose length is not known before its end, with memory set aside as it grows.
+async fn read_long_body(budget: &MemoryBudget, mut body: Incoming, length: Option<u64>) -> Option<Bytes> {
+    let mut reservation = budget.reservation();
+    // A known length is set aside at once: what has been begun can be finished.
+    if !reservation.grow_to(length.unwrap_or(0) as usize) {
+        return None;
     }
-    let mut share = None;
-    let mut held = Vec::new();
+    let mut held = Vec::with_capacity(reservation.bytes);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
-        let length = held.len() + data.len();
-        if length > most {
+        let grown = held.len() + data.len();
+        let needed = if grown > LONGEST_BODY { grown.next_power_of_two() } else { 0 };
+        let fits = grown <= LONGEST_ANSWER && (length.is_some() || reservation.grow_to(needed));
+        if !fits {
             return None;
         }
-        if length > LONGEST_BODY && share.is_none() {
-            share = Some(room.take(most)?);
-        }
         held.extend_from_slice(&data);
     }
-    let body = Bytes::from(held);
-    Some(match share {
-        Some(mut share) => {
-            share.body = body;
-            Bytes::from_owner(share)
-        }
-        None => body,
+    Some(if reservation.bytes == 0 {
+        Bytes::from(held)
+    } else {
+        Bytes::from_owner(ReservedBody { body: held, _reservation: reservation })
     })
 }
 
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -3,14 +3,17 @@
 use super::answers::{read, Reading};
 use super::budget::Allowance;
 use super::clock::Clock;
-use super::pool::{Line, NoConnection, Pools};
+use super::permit::Permit;
+use super::pool::{Line, NoConnection, Out, Pools};
 use super::traffic::{Ended, Order};
 use cometspool::{BackendId, Care, Outcome};
+use hyper::body::Incoming;
+use hyper::Response;
 use std::rc::Rc;
 
-/// The way to the backends.
+/// What carries attempts to the backends.
 #[derive(Clone)]
-pub struct Way {
+pub struct Transport {
     /// Connections to them.
     pub pools: Rc<Pools>,
     /// How their answers are read.
@@ -19,73 +22,130 @@
     pub clock: Clock,
 }
 
+/// How a request on one connection ended.
+enum Exchange {
+    /// With a whole answer.
+    Answered(Ended),
+    /// Before it was written whole, as its permit had ended.
+    NotPermitted,
+    /// The connection broke before it was written whole.
+    BrokenUnsent,
+    /// The connection broke after that.
+    BrokenSent,
+}
+
 /// Carries out one attempt within its part of the request's time and tells how it ended. Whoever set the part ends it: it is
 /// dropped when the part is over.
 pub async fn attempt(
-    way: &Way,
+    transport: &Transport,
     backend: BackendId,
     order: &Order,
     part: Allowance,
     care: Care,
     line: &Line,
 ) -> Ended {
-    let Way { pools, reading, clock } = way;
+    let permit = Permit::new(order.client.clone(), part, transport.clock);
     let mut broken = 0;
     loop {
-        let mut connection =
-            match pools.take(backend, care, part.wait(clock.now(), pools.dial_timeout())).await {
-                Ok(connection) => connection,
-                Err(NoConnection::Own) => return Ended { broken, ..Ended::of(Outcome::NotSent) },
-                Err(NoConnection::Full) => return Ended { broken, ..Ended::of(Outcome::Full) },
-                // Refused: that says more than what broke before.
-                Err(NoConnection::Theirs) => return Ended::of(Outcome::ConnectFailed),
-            };
-        // So may its client's patience: the connection serves another.
-        if order.client.left() {
-            pools.put_back_unused(connection);
-            return Ended { broken, ..Ended::of(Outcome::NotSent) };
-        }
-        let idle = connection.kept;
-        // The wait for a connection may have outlasted the backend's place in the list.
-        if !pools.takes_new(backend) {
-            return Ended { broken, ..Ended::of(Outcome::NotSent) };
-        }
+        let connection = match transport.connect(backend, part, care, &permit).await {
+            Ok(connection) => connection,
+            // Refused: that says more than what broke before.
+            Err(Outcome::ConnectFailed) => return Ended::of(Outcome::ConnectFailed),
+            Err(outcome) => return Ended { broken, ..Ended::of(outcome) },
+        };
         line.hold(&connection.wire);
-        connection.wire.begin(order.body.len(), care != Care::Usual);
-        let sent = match connection.sender.ready().await {
-            Ok(()) => {
-                let told = part.told(clock.now(), pools.way_back());
-                connection.sender.send_request(order.request(&told)).await.ok()
+        let kept = connection.kept.is_some();
+        match transport.exchange(backend, connection, order, part, care, &permit).await {
+            Exchange::Answered(ended) => return Ended { broken, ..ended },
+            Exchange::NotPermitted => return Ended { broken, ..Ended::of(Outcome::NotSent) },
+            // A connection from the pool that broke before the request was whole tells little of the backend, and
+            // nothing ran: the next one stands in. Each turn takes one out of the pool, so this ends.
+            Exchange::BrokenUnsent if kept => broken += 1,
+            Exchange::BrokenUnsent => {
+                return Ended { broken: broken + 1, ..Ended::of(Outcome::ConnectFailed) };
             }
-            Err(_) => None,
-        };
-        if let Some(idle) = idle {
-            pools.learn(idle, sent.is_none());
+            Exchange::BrokenSent => return Ended { broken: broken + 1, ..Ended::of(Outcome::Reset) },
+        }
+    }
+}
+
+impl Transport {
+    /// A connection on which the attempt may begin, or how the attempt ends without one.
+    async fn connect(
+        &self,
+        backend: BackendId,
+        part: Allowance,
+        care: Care,
+        permit: &Permit,
+    ) -> Result<Out, Outcome> {
+        let pools = &self.pools;
+        let limit = part.wait(self.clock.now(), pools.dial_timeout());
+        let taken = pools.take(backend, care, limit).await;
+        // The wait for a connection may have outlasted its client's patience, or the time in which the attempt may begin: that
+        // is no fault of the backend, and the connection serves another.
+        if !permit.holds() {
+            if let Ok(connection) = taken {
+                pools.put_back_unused(connection);
+            }
+            return Err(Outcome::NotSent);
         }
-        let answer = match sent {
-            Some(answer) => read(reading, answer).await,
+        let connection = taken.map_err(|why| match why {
+            NoConnection::Own => Outcome::NotSent,
+            NoConnection::Full => Outcome::Full,
+            NoConnection::Theirs => Outcome::ConnectFailed,
+        })?;
+        // It may have outlasted the backend's place in the list, too.
+        if pools.takes_new(backend) {
+            Ok(connection)
+        } else {
+            Err(Outcome::NotSent)
+        }
+    }
+
+    /// Sends the request on a connection and reads its answer.
+    async fn exchange(
+        &self,
+        backend: BackendId,
+        mut connection: Out,
+        order: &Order,
+        part: Allowance,
+        care: Care,
+        permit: &Permit,
+    ) -> Exchange {
+        connection.wire.begin(order.body.len(), care != Care::Usual, permit.clone());
+        let sent = self.send(&mut connection, order, part).await;
+        let unsent = sent.is_none() && !connection.wire.whole();
+        if unsent && !permit.holds() {
+            return Exchange::NotPermitted;
+        }
+        if let Some(idle) = connection.kept {
+            self.pools.learn(idle, sent.is_none());
+        }
+        let received = match sent {
+            Some(answer) => read(&self.reading, answer).await,
             None => None,
         };
         let whole = connection.wire.whole();
         // What is answered before it was written whole was answered unseen, and its connection is of no more use.
-        if let Some(ended) = answer.filter(|ended| whole || ended.outcome == Outcome::Full) {
-            // A new connection's first request turned away tells of a table that is full.
-            if ended.outcome == Outcome::Full && idle.is_none() {
-                pools.crowded(backend);
-            }
-            if whole {
-                pools.put_back(connection);
-            }
-            return Ended { broken, ..ended };
+        let Some(received) = received.filter(|received| whole || received.ended.outcome == Outcome::Full)
+        else {
+            return if whole { Exchange::BrokenSent } else { Exchange::BrokenUnsent };
+        };
+        // A new connection's first request turned away tells of a table that is full.
+        if received.ended.outcome == Outcome::Full && connection.kept.is_none() {
+            self.pools.crowded(backend);
         }
-        broken += 1;
-        // A connection from the pool that broke before the request was whole tells little of the backend, and
-        // nothing ran: the next one stands in. Each turn takes one out of the pool, so this ends.
-        if !whole && idle.is_some() {
-            continue;
+        if whole && received.delimited {
+            self.pools.put_back(connection);
         }
-        // Only what was written whole may have run.
-        return Ended { broken, ..Ended::of(if whole { Outcome::Reset } else { Outcome::ConnectFailed }) };
+        Exchange::Answered(received.ended)
+    }
+
+    /// Sends the request; nothing if the connection breaks before the head of an answer.
+    async fn send(&self, connection: &mut Out, order: &Order, part: Allowance) -> Option<Response<Incoming>> {
+        connection.sender.ready().await.ok()?;
+        let told = part.told(self.clock.now(), self.pools.way_back());
+        connection.sender.send_request(order.request(&told)).await.ok()
     }
 }
 
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -51,7 +51,7 @@
     /// The part of it that an attempt begun now may take, `limit` at most; `None` if there is nothing left to take.
     pub fn attempt(&self, now: Millis, limit: Option<Millis>) -> Option<Allowance> {
         let until = self.end.min(now + limit.unwrap_or(f64::INFINITY));
-        (until > now).then_some(Allowance { until })
+        (until > now).then_some(Allowance { until, begin_before: f64::INFINITY })
     }
 }
 
@@ -59,6 +59,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
     until: Millis,
+    begin_before: Millis,
 }
 
 impl Allowance {
@@ -67,9 +68,20 @@
         self.until
     }
 
-    /// How long a wait within it may last that by itself might last `most`.
+    /// The same part for an attempt that may reach its backend only before `time`, if there is one: from then on the
+    /// backends may have forgotten the key of an earlier attempt, and this one would run a second time.
+    pub fn begin_before(self, time: Option<Millis>) -> Allowance {
+        Allowance { begin_before: time.unwrap_or(f64::INFINITY), ..self }
+    }
+
+    /// Whether the attempt may still reach its backend.
+    pub fn may_begin(&self, now: Millis) -> bool {
+        now < self.begin_before
+    }
+
+    /// How long a wait for a connection may last that by itself might last `most`.
     pub fn wait(&self, now: Millis, most: Millis) -> Millis {
-        (self.until - now).clamp(0.0, most.max(0.0))
+        (self.begin_before.min(self.until) - now).clamp(0.0, most.max(0.0))
     }
 
     /// What a backend is told that it has, in seconds: what is left, less the way its answer takes. One that ends its
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -5,7 +5,7 @@
 //! while actions are carried out wait in a queue, so the module is never re-entered.
 
 use super::answers::Reading;
-use super::backends::{self, Way};
+use super::backends::{self, Transport};
 use super::budget::{Allowance, Budget, Woken};
 use super::clients::Desk;
 use super::clock::Clock;
@@ -112,6 +112,14 @@
     line: Line,
 }
 
+/// The module's bounds on the time of an attempt.
+struct AttemptLimits {
+    /// How long it may take.
+    limit: Option<Millis>,
+    /// The time before which it has to reach its backend.
+    begin_before: Option<Millis>,
+}
+
 /// A backend at an address.
 #[derive(Clone)]
 struct Holder {
@@ -176,10 +184,11 @@
         let room = room::budget(config.sockets(), config.limits.memory_mb << 20);
         let pools = Rc::new(Pools::new(told.links, room, doors, config.seed, clock));
         let reading = Rc::new(Reading::new(told, config.limits.memory_mb << 20));
-        let way = Way { pools: pools.clone(), reading, clock };
+        let transport = Transport { pools: pools.clone(), reading, clock };
         let carrier = move |backend, order: Rc<Order>, part, care, line: Line| {
-            let way = way.clone();
-            let attempt = async move { backends::attempt(&way, backend, &order, part, care, &line).await };
+            let transport = transport.clone();
+            let attempt =
+                async move { backends::attempt(&transport, backend, &order, part, care, &line).await };
             Box::pin(attempt) as Pin<Box<dyn Future<Output = Ended>>>
         };
         Door::with(config, woken, clock, pools, Box::new(carrier))
@@ -249,7 +258,9 @@
 
     fn carry_out(&self, action: Action) {
         match action {
-            Action::Send { request, backend, limit, care } => self.send(request, backend, limit, care),
+            Action::Send { request, backend, limit, begin_before, care } => {
+                self.send(request, backend, AttemptLimits { limit, begin_before }, care);
+            }
             Action::Refuse { request, retry_after, .. } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::CallOff { request, attempt } => {
@@ -292,7 +303,7 @@
 
     // ---- Attempts -----------------------------------------------------------------------------------
 
-    fn send(&self, id: RequestId, backend: BackendId, limit: Option<Millis>, care: Care) {
+    fn send(&self, id: RequestId, backend: BackendId, limits: AttemptLimits, care: Care) {
         let now = self.site.clock.now();
         let mut held = self.state.borrow_mut();
         let state = &mut *held;
@@ -304,7 +315,8 @@
             entry.answer.is_some() && entry.out.len() < copies && number < self.site.settings.max_attempts;
         // A copy belongs at another backend than the first: what ends there tells which of the two it was.
         let fits = fits && entry.out.iter().all(|attempt| attempt.backend != backend);
-        let Some(part) = entry.budget.attempt(now, limit).filter(|_| fits) else {
+        let part = entry.budget.attempt(now, limits.limit).map(|part| part.begin_before(limits.begin_before));
+        let Some(part) = part.filter(|_| fits) else {
             drop(held);
             let ended = Ended::of(Outcome::NotSent);
             self.post(now, Event::Settled(settled(id, number, backend, 0.0, &ended, false)));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,8 @@
 mod site;
 mod traffic;
 
+mod permit;
+
 mod answers;
 pub mod config;
 mod fleet;
--- /dev/null
+++ b/src/net/permit.rs
@@ -0,0 +1,27 @@
+//! Whether an attempt may still reach its backend: asked before the first byte of its request, and again before the last
+//! byte of one that could not be written at once.
+
+use super::budget::Allowance;
+use super::clock::Clock;
+use super::traffic::Presence;
+use std::rc::Rc;
+
+/// What an attempt has to meet until its request is written whole.
+#[derive(Clone, Debug)]
+pub struct Permit {
+    client: Rc<dyn Presence>,
+    part: Allowance,
+    clock: Clock,
+}
+
+impl Permit {
+    /// For an attempt of this client's request within this part of its time.
+    pub fn new(client: Rc<dyn Presence>, part: Allowance, clock: Clock) -> Permit {
+        Permit { client, part, clock }
+    }
+
+    /// Whether its client still waits and there is still time to begin.
+    pub fn holds(&self) -> bool {
+        self.part.may_begin(self.clock.now()) && !self.client.left()
+    }
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,6 +2,7 @@
 
 use super::clock::Clock;
 use super::links::{self, Bounds, DialId, Effect, LinkId, Taken, Ticket, Why};
+use super::permit::Permit;
 use super::traffic::BUFFER;
 use cometspool::settings;
 use cometspool::{BackendId, Care, Millis};
@@ -39,6 +40,8 @@
 /// How much of a request has been written, as seen below the HTTP library.
 #[derive(Clone, Debug, Default)]
 struct Written {
+    /// Whether any of it has been written.
+    begun: bool,
     /// How much of the empty line that ends the head has been seen.
     matched: usize,
     head_done: bool,
@@ -52,6 +55,7 @@
 
     fn note(&mut self, bytes: &[u8]) {
         const END: &[u8] = b"\r\n\r\n";
+        self.begun |= !bytes.is_empty();
         for (at, byte) in bytes.iter().enumerate() {
             if self.head_done {
                 self.body_left = self.body_left.saturating_sub(bytes.len() - at);
@@ -85,36 +89,67 @@
     /// Whether the last byte of the request is held back, and until when.
     cautious: Cell<bool>,
     proof: RefCell<Option<Pin<Box<Sleep>>>>,
+    /// What the request that is being written has to meet.
+    permit: RefCell<Option<Permit>>,
 }
 
 impl Wire {
+    fn new(socket: Option<TcpStream>, written: Written) -> Wire {
+        Wire {
+            socket: RefCell::new(socket),
+            written: RefCell::new(written),
+            cautious: Cell::default(),
+            proof: RefCell::default(),
+            permit: RefCell::default(),
+        }
+    }
+
     /// Whether the request has been written whole: before that, it cannot have run.
     pub fn whole(&self) -> bool {
         self.written.borrow().whole()
     }
 
-    /// A request with a body of this length is about to be written.
-    pub fn begin(&self, body: usize, cautious: bool) {
+    /// A request with a body of this length is about to be written, for as long as `permit` holds.
+    pub fn begin(&self, body: usize, cautious: bool, permit: Permit) {
         *self.written.borrow_mut() = Written::begin(body);
         self.cautious.set(cautious);
         self.proof.borrow_mut().take();
+        *self.permit.borrow_mut() = Some(permit);
     }
 
     /// How many of these bytes may be written now. Guards requests against connections that are dead unseen: all
     /// but the last byte goes first, and that one only if nothing but silence came back. A backend begins with the
     /// last byte, so what breaks before has not run, and may go out again whatever its class.
+    ///
+    /// What could not be written at once may have lost its permit meanwhile: that is asked before the last byte, too.
     fn may_write(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if !self.cautious.get() || !self.written.borrow().ends_with(bytes) {
+        let begun = self.written.borrow().begun;
+        let checked = begun || self.cautious.get();
+        if !checked || !self.written.borrow().ends_with(bytes) {
             return Poll::Ready(Ok(bytes.len()));
         }
-        if bytes.len() > 1 {
-            return Poll::Ready(Ok(bytes.len() - 1));
+        if self.cautious.get() {
+            if bytes.len() > 1 {
+                return Poll::Ready(Ok(bytes.len() - 1));
+            }
+            let mut proof = self.proof.borrow_mut();
+            let sleep = proof.get_or_insert_with(|| Box::pin(tokio::time::sleep(PROOF)));
+            ready!(sleep.as_mut().poll(cx));
+            // The reset may have come with the time; only the system knows yet.
+            if !self.quiet() {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
+        }
+        let permitted = !begun || self.permit.borrow().as_ref().is_none_or(Permit::holds);
+        Poll::Ready(if permitted { Ok(bytes.len()) } else { Err(io::ErrorKind::TimedOut.into()) })
+    }
+
+    fn note_written(&self, bytes: &[u8]) {
+        let mut written = self.written.borrow_mut();
+        written.note(bytes);
+        if written.whole() {
+            self.permit.borrow_mut().take();
         }
-        let mut proof = self.proof.borrow_mut();
-        let sleep = proof.get_or_insert_with(|| Box::pin(tokio::time::sleep(PROOF)));
-        ready!(sleep.as_mut().poll(cx));
-        // The reset may have come with the time; only the system knows yet.
-        Poll::Ready(if self.quiet() { Ok(1) } else { Err(io::ErrorKind::ConnectionReset.into()) })
     }
 
     fn close(&self) {
@@ -152,7 +187,7 @@
         };
         let wrote = Pin::new(stream).poll_write(cx, &buf[..most]);
         if let Poll::Ready(Ok(count)) = &wrote {
-            self.0.written.borrow_mut().note(&buf[..*count]);
+            self.0.note_written(&buf[..*count]);
         }
         wrote
     }
@@ -213,9 +248,7 @@
     #[cfg(test)]
     pub fn pretend_whole(&self) {
         let written = Written { head_done: true, ..Written::default() };
-        let (cautious, proof) = (Cell::default(), RefCell::default());
-        let wire = Wire { socket: RefCell::default(), written: RefCell::new(written), cautious, proof };
-        self.hold(&Rc::new(wire));
+        self.hold(&Rc::new(Wire::new(None, written)));
     }
 
     /// Gives the attempt up: its connection is closed before this returns.
@@ -341,9 +374,10 @@
     }
 
     /// A connection to a backend: a kept one, the first that comes free, or a new one, whichever is sooner, within
-    /// `limit`. For what must not run twice, none of an age at which connections have broken of late.
+    /// `limit` in all. For what must not run twice, none of an age at which connections have broken of late.
     pub async fn take(&self, id: BackendId, care: Care, limit: Millis) -> Result<Out, NoConnection> {
         let (shared, once) = (&self.shared, care == Care::Once);
+        let end = shared.clock.now() + limit;
         loop {
             if !self.takes_new(id) {
                 return Err(NoConnection::Own);
@@ -360,8 +394,8 @@
                 }
                 Taken::NoRoom => return Err(NoConnection::Own),
                 Taken::Waits => {
-                    let limit = Duration::try_from_secs_f64(limit / 1000.0).unwrap_or_default();
-                    let out = waiting.wait(limit.min(shared.dial_timeout)).await?;
+                    let left = Duration::try_from_secs_f64((end - shared.clock.now()) / 1000.0);
+                    let out = waiting.wait(left.unwrap_or_default().min(shared.dial_timeout)).await?;
                     if let Some(out) = shared.rested(out).await {
                         return Ok(out);
                     }
@@ -547,12 +581,7 @@
         let stream = TcpStream::connect(dial).await?;
         self.learn_way(begun.elapsed());
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire {
-            socket: RefCell::new(Some(stream)),
-            written: RefCell::default(),
-            cautious: Cell::default(),
-            proof: RefCell::default(),
-        });
+        let wire = Rc::new(Wire::new(Some(stream), Written::default()));
         let io = TokioIo::new(WireIo(wire.clone()));
         let hands = Builder::new().max_buf_size(BUFFER).handshake(io).await;
         let (sender, connection) = hands.map_err(|_| NoConnection::Theirs)?;
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -31,7 +31,7 @@
     pub arrived: Millis,
     pub sends: u32,
     pub out: Vec<Try>,    // two while a second copy runs
-    pub ran: Option<Try>, // the first attempt that ended and may have run
+    pub ran: Option<Try>, // the attempt sent first of those that ended and may have run
     pub started: bool,    // its streamed answer has
     pub answered: bool,   // whatever is still out, its client has its final answer
     pub slow: bool,       // it is known to be
@@ -111,16 +111,12 @@
         self.fits(now, live) && self.retries >= 1.0 && live.sends < self.terms.set.max_attempts
     }
 
-    /// How long an attempt is waited for that should take `expected`. Guards against one that hangs and eats
-    /// the whole of its request's time: what may be repeated is given up while another attempt still has the
-    /// time that this one had. The last attempt gets all that is left.
+    /// How long an attempt is waited for that should take `expected`. One that hangs must not use up its request:
+    /// what may be repeated is given up while another attempt still has as much time; the last gets all of it.
     pub fn patience(&self, now: Millis, live: &Live, expected: Millis, calm: bool) -> Millis {
         let class = self.class(live);
-        let again = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed { group: Group::All, memory } => memory > class.aim,
-            _ => false,
-        };
+        let again = matches!(class.effect, Effect::Safe)
+            || matches!(class.effect, Effect::Keyed { group: Group::All, memory } if memory > class.aim);
         let limit = (HUNG * expected).max(HUNG_AIMS * class.aim);
         let fits = 2.0 * limit <= self.cut(live) - now && live.sends + 1 < self.terms.set.max_attempts;
         if again && fits && calm && self.retries >= 1.0 {
@@ -140,15 +136,20 @@
         }
     }
 
+    /// When the key of what has run is forgotten, an attempt that is out being taken to run.
+    pub fn key_expires(&self, live: &Live) -> Option<Millis> {
+        let Effect::Keyed { memory, .. } = self.class(live).effect else { return None };
+        let first = live.ran.iter().chain(&live.out).map(|sent| sent.at).reduce(f64::min)?;
+        Some(first + memory - 2.0 * self.terms.set.tick)
+    }
+
     /// Where a request may be sent after what has happened to it, an attempt that is out being taken to run.
     pub fn reach(&self, now: Millis, live: &Live) -> Reach {
         let Some(ran) = live.ran.as_ref().or(live.out.first()) else { return Reach::Anywhere };
         match self.class(live).effect {
             Effect::Safe => Reach::Anywhere,
             Effect::Unsafe => Reach::Nowhere,
-            Effect::Keyed { memory, .. } if now >= ran.at + memory - 2.0 * self.terms.set.tick => {
-                Reach::Nowhere
-            }
+            _ if self.key_expires(live).is_some_and(|expires| now >= expires) => Reach::Nowhere,
             Effect::Keyed { group: Group::All, .. } => Reach::Anywhere,
             Effect::Keyed { group: Group::Zone, .. } => Reach::Zone(ran.zone),
             Effect::Keyed { group: Group::Cell, .. } => Reach::Cell(ran.cell),
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -173,7 +173,7 @@
             let alarm = AlarmId(u64::from(live.sends + 1) << 32 | u64::from(id.0));
             actions.push(Action::SetAlarm { at: now + patience, alarm });
         }
-        let care = self.attempts.care(now, live);
+        let (care, begin_before) = (self.attempts.care(now, live), self.attempts.key_expires(live));
         let flight = Flight { at: now, class: live.request.class, load, units };
         self.quotas.customers.entry(live.request.customer).and_modify(|customer| customer.cap.open += 1);
         self.fleet.all[at].sent(now, id, flight, to.even_rate, &self.terms.set);
@@ -182,7 +182,8 @@
             live.out.push(Try { attempt: live.sends, to: to.backend, at: now, zone, cell });
             live.sends += 1;
         });
-        actions.push(Action::Send { request: id, backend: to.backend, limit: Some(limit), care });
+        let (backend, limit) = (to.backend, Some(limit));
+        actions.push(Action::Send { request: id, backend, limit, begin_before, care });
     }
 
     fn settled(&mut self, now: Millis, settled: &Settled, actions: &mut Vec<Action>) {
@@ -191,7 +192,7 @@
         let ended = |out: &Try| out.attempt == settled.attempt && out.to == settled.backend;
         let Some(ended) = live.out.iter().position(ended).map(|place| live.out.remove(place)) else { return };
         if !settled.outcome.never_ran() {
-            live.ran = live.ran.or(Some(ended));
+            live.ran = live.ran.filter(|ran| ran.at <= ended.at).or(Some(ended));
         }
         let live = live.clone();
         let served = settled.outcome == Outcome::Ok;
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -77,3 +77,79 @@
         }
     }
 }
+
+/// A backend that lets a connection come up only once `open` is called.
+struct Shut {
+    place: Place,
+    fillers: usize,
+}
+
+impl Shut {
+    fn new() -> Shut {
+        let (place, fillers) = crowded_place();
+        // They wait in its line after their other ends have closed.
+        Shut { place, fillers: fillers.len() }
+    }
+
+    fn dialled(&self) -> bool {
+        dialling(self.place.address())
+    }
+
+    /// The connection that waits to come up.
+    fn open(&mut self) -> Wire {
+        for _ in 0..std::mem::take(&mut self.fillers) {
+            self.place.accept();
+        }
+        self.place.accept()
+    }
+}
+
+/// What became of a keyed request whose further attempt was dialled within its window and could begin only after it.
+#[derive(Debug, PartialEq)]
+enum Late {
+    /// It was sent to the second backend.
+    Sent,
+    /// It was answered with this status.
+    Answered(u16),
+    /// The window had passed before there was a further attempt: nothing is shown.
+    NotTried,
+}
+
+fn begin_late(memory: f64) -> Late {
+    let mut settings = settings();
+    settings["grades"][1]["memory_span"] = memory.into();
+    settings["policy_limits"]["dial_timeout"] = 20_000.0.into();
+    let discovery = Place::new();
+    let mut backends = [Shut::new(), Shut::new()];
+    let hosts: Vec<Value> =
+        (0..2).map(|i| member(&format!("s-{i}"), backends[i].place.address(), "up")).collect();
+    let program = Program::start(settings, discovery.address(), members(7, true, &hosts));
+    let mut client = program.client();
+    client.write(request_of("keyed", "extend", "wide", LONG));
+    let first = wait_for("a first attempt", || backends.iter().position(Shut::dialled));
+    let begun = Instant::now();
+    let mut link = backends[first].open();
+    assert_eq!(link.read().header("request-id"), Some("keyed"));
+    link.answer(500, "", "");
+    let second = &mut backends[1 - first];
+    wait_for("a further attempt or an answer", || (second.dialled() || client.speaks()).then_some(()));
+    if !second.dialled() {
+        return Late::NotTried;
+    }
+    wait_for("the end of the window", || (begun.elapsed().as_secs_f64() * 1000.0 > memory).then_some(()));
+    let late = second.open();
+    if late.speaks_before(&client) {
+        Late::Sent
+    } else {
+        Late::Answered(client.read().status())
+    }
+}
+
+/// Guards keyed requests against a connection that comes up late: a further attempt that was due within the window, and could
+/// begin only after it, is not sent, and the request fails at once.
+#[test]
+fn a_further_attempt_does_not_begin_after_its_window() {
+    // On a machine that is held up, the wider window shows it.
+    let late = [3000.0, 7000.0].into_iter().map(begin_late).find(|late| *late != Late::NotTried);
+    assert_eq!(late, Some(Late::Answered(502)));
+}
--- /dev/null
+++ b/tests/whole_answers.rs
@@ -0,0 +1,145 @@
+//! When an answer of a backend is whole, over loopback sockets: one that tells its length or comes in chunks with its last
+//! byte, any other where its connection ends in order. What is cut or too long reaches no client as an answer.
+
+use cometspool_rig::hand::*;
+use socket2::SockRef;
+use std::time::Duration;
+
+/// Long enough that no answer of these tests comes from a deadline.
+const LONG: &str = "8";
+/// The head of an answer that ends with its connection.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\nApi-Usage: 12\r\n\r\n";
+
+fn reset(wire: Wire) {
+    SockRef::from(wire.reader.get_ref()).set_linger(Some(Duration::ZERO)).expect("a socket");
+}
+
+/// A client's request that has reached the only backend whole.
+fn begun(scene: &Scene, id: &str, class: &str) -> (Wire, Wire) {
+    let mut client = scene.program.client();
+    client.write(request_of(id, class, "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    assert_eq!(backend.read().header("request-id"), Some(id));
+    (client, backend)
+}
+
+/// Returns once the front door has served another request: what had come before it has been read by then.
+fn serve_another(scene: &Scene, id: &str) {
+    let (mut client, mut backend) = begun(scene, id, "read");
+    backend.answer(200, "Connection: close\r\n", "another");
+    assert_eq!(client.read().body, b"another");
+}
+
+/// Guards answers that tell no length: the connection stays open until the backend ends it, however the body is cut into
+/// pieces, and what came is passed on whole, with a length by which the client can tell.
+#[test]
+fn an_answer_without_a_length_is_whole_where_its_connection_ends() {
+    let long = "0123456789abcdef".repeat(25_000);
+    for pieces in [vec![""], vec!["whole"], vec!["in ", "two"], vec![long.as_str(), "and more"]] {
+        let scene = Scene::new(1);
+        let (mut client, mut backend) = begun(&scene, "id-1", "charge");
+        backend.write(HEAD);
+        for (number, piece) in pieces.iter().enumerate() {
+            backend.write(piece);
+            serve_another(&scene, &format!("between-{number}"));
+            assert!(!client.speaks() && !backend.speaks(), "ended before the backend did");
+        }
+        drop(backend);
+        let answer = client.read();
+        assert_eq!(answer.status(), 200);
+        assert!(answer.body == pieces.concat().as_bytes(), "{} bytes", answer.body.len());
+        assert!(answer.header("content-length").is_some());
+        // Its connection carries nothing more.
+        serve_another(&scene, "next");
+    }
+}
+
+/// Guards against a cut answer passed for a whole one: a reset is no end, before the first byte of the body or after any.
+#[test]
+fn a_reset_cuts_an_answer_without_a_length() {
+    for said in ["", "half"] {
+        let scene = Scene::new(1);
+        let (mut client, mut backend) = begun(&scene, "id-1", "charge");
+        backend.write(format!("{HEAD}{said}"));
+        serve_another(&scene, "between");
+        reset(backend);
+        assert_eq!(client.read().status(), 502, "{said:?}");
+        assert!(scene.nobody_called(), "{said:?}: an unsafe request that may have run was sent again");
+        // What may be repeated is served elsewhere.
+        let (mut client, mut backend) = begun(&scene, "id-2", "read");
+        backend.write(format!("{HEAD}{said}"));
+        serve_another(&scene, "between-2");
+        reset(backend);
+        let mut backend = scene.backends[0].accept();
+        assert_eq!(backend.read().header("request-id"), Some("id-2"));
+        backend.answer(200, "", "again");
+        assert_eq!(client.read().body, b"again", "{said:?}");
+    }
+}
+
+/// Guards a request's time: an answer without a length that does not end is given up with the request.
+#[test]
+fn an_answer_without_an_end_is_given_up_in_time() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "charge", "wide", "1.5"));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    backend.write(format!("{HEAD}half"));
+    assert_eq!(client.read().status(), 502);
+    backend.expect_end();
+}
+
+/// Guards memory: an answer without a length, or in chunks, is given up once it is longer than any answer may be.
+#[test]
+fn an_answer_that_proves_too_long_is_a_failure_at_once() {
+    let megabyte = "x".repeat(1 << 20);
+    for (name, begin) in [
+        ("no length", format!("{HEAD}{megabyte}x")),
+        ("chunks", format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n100001\r\n{megabyte}x")),
+    ] {
+        let scene = Scene::new(1);
+        let (mut client, mut backend) = begun(&scene, "id-1", "charge");
+        // The front door may close before all is written.
+        let _ = std::io::Write::write_all(backend.reader.get_mut(), begin.as_bytes());
+        assert_eq!(client.read().status(), 502, "{name}");
+        backend.expect_end();
+    }
+}
+
+/// Guards long answers against each other: memory is set aside as they grow, so many that come at once and tell no length
+/// before their end all come whole.
+#[test]
+fn many_long_answers_at_once_come_whole() {
+    let body = "0123456789abcdef".repeat(6_000);
+    let heads = [
+        HEAD.to_owned(),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n", body.len()),
+    ];
+    let (discovery, backends) = (Place::new(), (0..10).map(|_| Place::new()).collect::<Vec<Place>>());
+    let hosts: Vec<_> = backends
+        .iter()
+        .enumerate()
+        .map(|(i, place)| member(&format!("s-{i}"), place.address(), "up"))
+        .collect();
+    // 32 MB leave 8 MB for long answers.
+    let program = Program::start_with_memory(32, settings(), discovery.address(), members(7, true, &hosts));
+    let mut open = Vec::new();
+    for number in 0..16 {
+        let mut client = program.client();
+        client.write(request_of(&format!("id-{number}"), "charge", "wide", LONG));
+        let (_, mut wire) = accept_any_or(&backends, &client).expect("a request that is sent on");
+        wire.read();
+        wire.write(format!("{}{body}", heads[number % 2]));
+        open.push((client, wire));
+    }
+    for (number, (mut client, mut wire)) in open.into_iter().enumerate() {
+        if number % 2 == 1 {
+            wire.write("\r\n0\r\n\r\n");
+        }
+        drop(wire);
+        let answer = client.read();
+        assert_eq!(answer.status(), 200, "number {number}");
+        assert!(answer.body == body.as_bytes(), "number {number}: {} bytes", answer.body.len());
+    }
+}
