Use the field's names for delivery mode, subset and observations

Need: Care, Stretch and feel need explaining. Change: Care is DeliveryMode (Normal, Cautious, Once), Stretch is Subset, feel_* is observe_*; pages with them. Behaviour is unchanged.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -276,14 +276,14 @@
     }
 }
 
-/// What is done lest a connection that breaks takes a request along.
+/// How a request is written, so that a connection that breaks does not take it along.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Care {
-    /// Nothing: the request is written at once, to any connection.
-    Usual,
-    /// Its last byte waits until the connection has stood the rest: it cannot have run where that breaks before.
-    Proof,
-    /// So it does, and a kept connection is used only at an age at which others have held of late.
+pub enum DeliveryMode {
+    /// At once, to any connection.
+    Normal,
+    /// Its last byte waits until the connection has proved to be alive: where it breaks before, nothing has run.
+    Cautious,
+    /// Cautiously, and on a kept connection only at an idle age at which others have held of late.
     Once,
 }
 
@@ -397,8 +397,8 @@
         limit: Option<Millis>,
         /// The time before which it has to reach the backend, if there is one: later it could run a second time.
         begin_before: Option<Millis>,
-        /// What is done lest a broken connection takes the request along.
-        care: Care,
+        /// How it is written.
+        delivery: DeliveryMode,
     },
     /// Final answer: turned away, trying again is harmless.
     Refuse {
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -6,7 +6,7 @@
 use super::permit::Permit;
 use super::pool::{Line, NoConnection, Out, Pools};
 use super::traffic::{Ended, Order};
-use cometspool::{BackendId, Care, Outcome};
+use cometspool::{BackendId, DeliveryMode, Outcome};
 use hyper::body::Incoming;
 use hyper::Response;
 use std::rc::Rc;
@@ -41,13 +41,13 @@
     backend: BackendId,
     order: &Order,
     part: Allowance,
-    care: Care,
+    delivery: DeliveryMode,
     line: &Line,
 ) -> Ended {
     let permit = Permit::new(order.client.clone(), part, transport.clock);
     let mut broken = 0;
     loop {
-        let connection = match transport.connect(backend, part, care, &permit).await {
+        let connection = match transport.connect(backend, part, delivery, &permit).await {
             Ok(connection) => connection,
             // Refused: that says more than what broke before.
             Err(Outcome::ConnectFailed) => return Ended::of(Outcome::ConnectFailed),
@@ -55,7 +55,7 @@
         };
         line.hold(&connection.wire);
         let kept = connection.kept.is_some();
-        match transport.exchange(backend, connection, order, part, care, &permit).await {
+        match transport.exchange(backend, connection, order, part, delivery, &permit).await {
             Exchange::Answered(ended) => return Ended { broken, ..ended },
             Exchange::NotPermitted => return Ended { broken, ..Ended::of(Outcome::NotSent) },
             // A connection from the pool that broke before the request was whole tells little of the backend, and
@@ -75,12 +75,12 @@
         &self,
         backend: BackendId,
         part: Allowance,
-        care: Care,
+        delivery: DeliveryMode,
         permit: &Permit,
     ) -> Result<Out, Outcome> {
         let pools = &self.pools;
         let limit = part.wait(self.clock.now(), pools.dial_timeout());
-        let taken = pools.take(backend, care, limit).await;
+        let taken = pools.take(backend, delivery, limit).await;
         // The wait for a connection may have outlasted its client's patience, or the time in which the attempt may begin: that
         // is no fault of the backend, and the connection serves another.
         if !permit.holds() {
@@ -109,10 +109,10 @@
         mut connection: Out,
         order: &Order,
         part: Allowance,
-        care: Care,
+        delivery: DeliveryMode,
         permit: &Permit,
     ) -> Exchange {
-        connection.wire.begin(order.body.len(), care != Care::Usual, permit.clone());
+        connection.wire.begin(order.body.len(), delivery != DeliveryMode::Normal, permit.clone());
         let sent = self.send(&mut connection, order, part).await;
         let unsent = sent.is_none() && !connection.wire.whole();
         if unsent && !permit.holds() {
--- a/src/net/backends/tests.rs
+++ b/src/net/backends/tests.rs
@@ -100,7 +100,7 @@
         transport.pools.open(id, address, 0.0);
         let mut ends = Vec::new();
         for _ in 0..3 {
-            ends.push(attempt(&transport, id, &order, long(), Care::Once, &Line::default()).await);
+            ends.push(attempt(&transport, id, &order, long(), DeliveryMode::Once, &Line::default()).await);
         }
         backend.await.expect("a backend that saw what it waited for");
         ends
@@ -136,17 +136,17 @@
         });
         let (transport, order, id, line) = (transport(), order(), BackendId(1), Line::default());
         transport.pools.open(id, address, 0.0);
-        let send = |care| attempt(&transport, id, &order, long(), care, &line);
+        let send = |delivery| attempt(&transport, id, &order, long(), delivery, &line);
         for _ in 0..3 {
-            assert_eq!(send(Care::Usual).await.outcome, Outcome::Ok);
+            assert_eq!(send(DeliveryMode::Normal).await.outcome, Outcome::Ok);
             transport.pools.age(old);
-            assert_eq!(send(Care::Usual).await.outcome, Outcome::Reset);
+            assert_eq!(send(DeliveryMode::Normal).await.outcome, Outcome::Reset);
         }
-        assert_eq!(send(Care::Usual).await.body, "first");
+        assert_eq!(send(DeliveryMode::Normal).await.body, "first");
         transport.pools.age(old);
-        assert_eq!(send(Care::Once).await.body, "on a new one");
+        assert_eq!(send(DeliveryMode::Once).await.body, "on a new one");
         transport.pools.age(old);
-        assert_eq!(send(Care::Usual).await.body, "on a kept one");
+        assert_eq!(send(DeliveryMode::Normal).await.body, "on a kept one");
         backend.await.expect("a backend that saw what it waited for");
     });
 }
@@ -165,7 +165,7 @@
             let transport = transport.clone();
             tokio::task::spawn_local(async move {
                 let (id, line) = (BackendId(1), Line::default());
-                attempt(&transport, id, &order(), long(), Care::Usual, &line).await
+                attempt(&transport, id, &order(), long(), DeliveryMode::Normal, &line).await
             })
         };
         let first = begin(&transport);
@@ -190,7 +190,7 @@
         let transport = transport();
         transport.pools.open(BackendId(1), listener.local_addr().expect("an address"), 0.0);
         let (order, line) = (order(), Line::default());
-        let send = || attempt(&transport, BackendId(1), &order, long(), Care::Usual, &line);
+        let send = || attempt(&transport, BackendId(1), &order, long(), DeliveryMode::Normal, &line);
         tokio::select! {
             biased;
             _ = send() => panic!("answered by nobody"),
@@ -218,7 +218,7 @@
         });
         let addresses = [0, 1].map(|i: usize| places[i].local_addr().expect("an address"));
         let (transport, order, line) = (transport(), order(), Line::default());
-        let send = || attempt(&transport, BackendId(1), &order, long(), Care::Once, &line);
+        let send = || attempt(&transport, BackendId(1), &order, long(), DeliveryMode::Once, &line);
         let mut before: Option<TcpStream> = None;
         for (place, born) in [(0, 0.0), (0, 5.0), (1, 5.0)] {
             transport.pools.open(BackendId(1), addresses[place], born);
@@ -243,16 +243,16 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (transport, order, line) = (transport(), order(), Line::default());
         transport.pools.open(BackendId(1), listener.local_addr().expect("an address"), 0.0);
-        for care in [Care::Usual, Care::Once, Care::Proof] {
+        for delivery in [DeliveryMode::Normal, DeliveryMode::Once, DeliveryMode::Cautious] {
             let answer = async {
                 let (mut stream, _) = listener.accept().await.expect("a new connection");
                 receive(&mut stream, b"hello").await;
                 let answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
                 stream.write_all(answer).await.expect("a reader");
             };
-            let sent = attempt(&transport, BackendId(1), &order, long(), care, &line);
+            let sent = attempt(&transport, BackendId(1), &order, long(), delivery, &line);
             let (ended, ()) = tokio::join!(sent, answer);
-            assert_eq!((ended.outcome, ended.broken), (Outcome::Ok, 0), "{care:?}");
+            assert_eq!((ended.outcome, ended.broken), (Outcome::Ok, 0), "{delivery:?}");
         }
     });
 }
@@ -272,7 +272,7 @@
             let answer = b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
             stream.write_all(answer).await.expect("a reader");
         };
-        let sent = attempt(&transport, BackendId(1), &order, long(), Care::Usual, &line);
+        let sent = attempt(&transport, BackendId(1), &order, long(), DeliveryMode::Normal, &line);
         let (ended, ()) = tokio::join!(sent, answer);
         assert_eq!(ended.outcome, Outcome::Full);
         assert!(
@@ -305,7 +305,7 @@
 /// backend is not blamed.
 #[test]
 fn the_last_byte_is_not_written_for_a_client_that_has_left() {
-    for care in [Care::Once, Care::Proof] {
+    for delivery in [DeliveryMode::Once, DeliveryMode::Cautious] {
         play(async {
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let (transport, line) = (transport(), Line::default());
@@ -318,9 +318,9 @@
             };
             let order = order_of(Rc::new(LeavesBetween::default()));
             let (ended, got) =
-                tokio::join!(attempt(&transport, BackendId(1), &order, long(), care, &line), backend);
-            assert_eq!((ended.outcome, ended.broken), (Outcome::NotSent, 0), "{care:?}");
-            assert!(got.ends_with(b"hell"), "{care:?}: {}", String::from_utf8_lossy(&got));
+                tokio::join!(attempt(&transport, BackendId(1), &order, long(), delivery, &line), backend);
+            assert_eq!((ended.outcome, ended.broken), (Outcome::NotSent, 0), "{delivery:?}");
+            assert!(got.ends_with(b"hell"), "{delivery:?}: {}", String::from_utf8_lossy(&got));
         });
     }
 }
@@ -332,7 +332,7 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (transport, order, line) = (transport(), order(), Line::default());
         transport.pools.open(BackendId(1), listener.local_addr().expect("an address"), 0.0);
-        let send = |part| attempt(&transport, BackendId(1), &order, part, Care::Usual, &line);
+        let send = |part| attempt(&transport, BackendId(1), &order, part, DeliveryMode::Normal, &line);
         let backend = async {
             let (mut stream, _) = listener.accept().await.expect("a connection");
             serve(&mut stream, "first").await;
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -102,7 +102,8 @@
 }
 
 /// Carries out one attempt: the sockets, or what a test puts in their place.
-type Carrier = dyn Fn(BackendId, Rc<Order>, Allowance, Care, Line) -> Pin<Box<dyn Future<Output = Ended>>>;
+type Carrier =
+    dyn Fn(BackendId, Rc<Order>, Allowance, DeliveryMode, Line) -> Pin<Box<dyn Future<Output = Ended>>>;
 
 /// An attempt that is out.
 struct Attempt {
@@ -185,10 +186,10 @@
         let pools = Rc::new(Pools::new(told.links, room, doors, config.seed, clock));
         let reading = Rc::new(Reading::new(told, config.limits.memory_mb << 20));
         let transport = Transport { pools: pools.clone(), reading, clock };
-        let carrier = move |backend, order: Rc<Order>, part, care, line: Line| {
+        let carrier = move |backend, order: Rc<Order>, part, delivery, line: Line| {
             let transport = transport.clone();
             let attempt =
-                async move { backends::attempt(&transport, backend, &order, part, care, &line).await };
+                async move { backends::attempt(&transport, backend, &order, part, delivery, &line).await };
             Box::pin(attempt) as Pin<Box<dyn Future<Output = Ended>>>
         };
         Door::with(config, woken, clock, pools, Box::new(carrier))
@@ -258,8 +259,8 @@
 
     fn carry_out(&self, action: Action) {
         match action {
-            Action::Send { request, backend, limit, begin_before, care } => {
-                self.send(request, backend, AttemptLimits { limit, begin_before }, care);
+            Action::Send { request, backend, limit, begin_before, delivery } => {
+                self.send(request, backend, AttemptLimits { limit, begin_before }, delivery);
             }
             Action::Refuse { request, retry_after, .. } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
@@ -303,7 +304,7 @@
 
     // ---- Attempts -----------------------------------------------------------------------------------
 
-    fn send(&self, id: RequestId, backend: BackendId, limits: AttemptLimits, care: Care) {
+    fn send(&self, id: RequestId, backend: BackendId, limits: AttemptLimits, delivery: DeliveryMode) {
         let now = self.site.clock.now();
         let mut held = self.state.borrow_mut();
         let state = &mut *held;
@@ -326,7 +327,7 @@
             handover.sent(&entry.order.id, entry.budget.end());
         }
         let line = Line::default();
-        let carried = (self.carrier)(backend, entry.order.clone(), part, care, line.clone());
+        let carried = (self.carrier)(backend, entry.order.clone(), part, delivery, line.clone());
         let own = self.own.clone();
         let task = tokio::task::spawn_local(async move {
             let ended = carried.await;
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -194,7 +194,7 @@
     }
 
     /// Brings the mean need up to now; call before what is out or waits changes.
-    fn feel(&mut self, now: Millis) {
+    fn observe(&mut self, now: Millis) {
         let present = (self.busy + self.waiting.len()) as f64;
         let memory = if present > self.need { NEED_RISE } else { NEED_MEMORY };
         let keep = (-(now - self.need_at).max(0.0) / memory).exp();
@@ -257,10 +257,10 @@
         once: bool,
         effects: &mut Vec<Effect<B>>,
     ) -> Taken {
-        self.feel_rate(now);
+        self.observe_rate(now);
         let longest = self.longest_idle();
         let shelf = self.shelves.entry(to).or_default();
-        shelf.feel(now);
+        shelf.observe(now);
         let settled = shelf.idle.iter().rposition(|(_, since)| now - since >= SETTLED);
         if let Some(place) = settled.or(shelf.idle.len().checked_sub(1)) {
             let (link, since) = shelf.idle[place];
@@ -341,7 +341,7 @@
             effects.push(Effect::Close(link));
             return;
         };
-        shelf.feel(now);
+        shelf.observe(now);
         shelf.busy += 1;
         self.freed(now, to, link, effects);
         self.dial(now, to, effects);
@@ -352,7 +352,7 @@
         self.open = self.open.saturating_sub(1);
         let spare = self.bounds.spare();
         let Some(shelf) = self.over(to, dial) else { return };
-        shelf.feel(now);
+        shelf.observe(now);
         let live = shelf.busy + shelf.idle.len() > 0;
         if live && !own {
             Self::crowded_shelf(shelf, now, spare);
@@ -406,7 +406,7 @@
             effects.push(Effect::Close(link));
             return;
         };
-        shelf.feel(now);
+        shelf.observe(now);
         if let Some(who) = shelf.waiting.pop_front() {
             effects.push(Effect::Give(who, link));
             return;
@@ -420,7 +420,7 @@
     pub fn lost(&mut self, now: Millis, to: B, effects: &mut Vec<Effect<B>>) {
         self.open = self.open.saturating_sub(1);
         if let Some(shelf) = self.shelves.get_mut(&to) {
-            shelf.feel(now);
+            shelf.observe(now);
             shelf.busy = shelf.busy.saturating_sub(1);
         }
         self.dial(now, to, effects);
@@ -429,7 +429,7 @@
     /// One that waited does so no longer. Its dial goes on: what comes of it is kept.
     pub fn left(&mut self, now: Millis, to: B, who: Ticket) {
         if let Some(shelf) = self.shelves.get_mut(&to) {
-            shelf.feel(now);
+            shelf.observe(now);
             shelf.waiting.retain(|waiting| *waiting != who);
         }
     }
@@ -492,7 +492,7 @@
     pub fn tidy(&mut self, now: Millis, effects: &mut Vec<Effect<B>>) {
         let (longest, spare) = (self.longest_idle(), self.bounds.spare());
         for shelf in self.shelves.values_mut() {
-            shelf.feel(now);
+            shelf.observe(now);
             let limit = shelf.limit(now, spare);
             let over = shelf.held().saturating_sub(limit);
             // The least recently used go first.
@@ -522,7 +522,7 @@
         }
     }
 
-    fn feel_rate(&mut self, now: Millis) {
+    fn observe_rate(&mut self, now: Millis) {
         let keep = (-(now - self.rate_at).max(0.0) / NEED_MEMORY).exp();
         self.rate = self.rate * keep + 1000.0 / NEED_MEMORY;
         self.rate_at = now;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -5,7 +5,7 @@
 use super::permit::Permit;
 use super::traffic::BUFFER;
 use cometspool::settings;
-use cometspool::{BackendId, Care, Millis};
+use cometspool::{BackendId, DeliveryMode, Millis};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -375,8 +375,13 @@
 
     /// A connection to a backend: a kept one, the first that comes free, or a new one, whichever is sooner, within
     /// `limit` in all. For what must not run twice, none of an age at which connections have broken of late.
-    pub async fn take(&self, id: BackendId, care: Care, limit: Millis) -> Result<Out, NoConnection> {
-        let (shared, once) = (&self.shared, care == Care::Once);
+    pub async fn take(
+        &self,
+        id: BackendId,
+        delivery: DeliveryMode,
+        limit: Millis,
+    ) -> Result<Out, NoConnection> {
+        let (shared, once) = (&self.shared, delivery == DeliveryMode::Once);
         let end = shared.clock.now() + limit;
         loop {
             if !self.takes_new(id) {
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -98,7 +98,7 @@
     }
 
     /// The time of few good answers of a class, moved by one that took `elapsed`.
-    pub fn feel_service(&mut self, class: ClassId, elapsed: Millis) {
+    pub fn observe_service(&mut self, class: ClassId, elapsed: Millis) {
         let quick = self.quick.entry(class).or_insert(Quantile::new(elapsed / 2.0));
         quick.feed(elapsed, QUICKEST, QUICK_STEP);
     }
@@ -111,8 +111,8 @@
         self.fits(now, live) && self.retries >= 1.0 && live.sends < self.terms.set.max_attempts
     }
 
-    /// How long an attempt is waited for that should take `expected`. One that hangs must not use up its request:
-    /// what may be repeated is given up while another attempt still has as much time; the last gets all of it.
+    /// How long an attempt that should take `expected` is waited for. One that may be repeated is given up
+    /// while another still has as much time, so that a hung one does not use all; the last gets the rest.
     pub fn patience(&self, now: Millis, live: &Live, expected: Millis, calm: bool) -> Millis {
         let class = self.class(live);
         let again = matches!(class.effect, Effect::Safe)
@@ -128,11 +128,11 @@
 
     /// Guards against connections that are dead unseen, in pools or between: a request that must not be run
     /// again is lost with each. Others can be repeated; caution costs each the time of a way there and back.
-    pub fn care(&self, now: Millis, live: &Live) -> Care {
+    pub fn delivery(&self, now: Millis, live: &Live) -> DeliveryMode {
         match self.class(live).effect {
-            Effect::Unsafe => Care::Once,
-            _ if now - self.broke_at < CAUTION_AIMS * self.terms.aim => Care::Proof,
-            _ => Care::Usual,
+            Effect::Unsafe => DeliveryMode::Once,
+            _ if now - self.broke_at < CAUTION_AIMS * self.terms.aim => DeliveryMode::Cautious,
+            _ => DeliveryMode::Normal,
         }
     }
 
--- a/src/rules/choice.rs
+++ b/src/rules/choice.rs
@@ -1,4 +1,4 @@
-//! Choice of backend: the stretch that a gateway keeps to, what a backend is expected to cost, and turns.
+//! Choice of backend: the subset that a gateway keeps to, what a backend is expected to cost, and turns.
 
 use super::attempts::{Live, Reach};
 use super::backends::{Backend, Fleet, CIRCLE_LEAST, FORGOTTEN};
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 const CIRCLE_GATEWAYS: f64 = 4.0; // gateways that meet each backend at least: a few gateways meet them all
-const CIRCLE_SLACK: f64 = 0.25; // part of the stretch by which a backend that is kept to may lie beside it
+const CIRCLE_SLACK: f64 = 0.25; // part of the subset by which a backend that is kept to may lie beside it
 const SPARSE_LOAD: f64 = 0.2; // own load at each up to which it tells nothing of how busy it is: turns decide
 const CROSSING_AIMS: f64 = 10.0; // waiting that a crossing between zones is worth, in its price of the aim
 
@@ -32,7 +32,7 @@
 }
 
 /// The backends that a gateway keeps to.
-pub(super) struct Stretch {
+pub(super) struct Subset {
     terms: Arc<Terms>,
     demand: Cewma, // units within the quotas that ask to be sent on
     kept: Vec<BackendId>,
@@ -40,9 +40,9 @@
     pub warm: Vec<Action>, // those that are to get a connection
 }
 
-impl Stretch {
-    pub fn new(terms: Arc<Terms>) -> Stretch {
-        Stretch { terms, demand: Cewma::default(), kept: Vec::new(), kept_at: 0.0, warm: Vec::new() }
+impl Subset {
+    pub fn new(terms: Arc<Terms>) -> Subset {
+        Subset { terms, demand: Cewma::default(), kept: Vec::new(), kept_at: 0.0, warm: Vec::new() }
     }
 
     /// Units within the quotas ask to be sent on.
@@ -68,24 +68,24 @@
 
     /// Guards against every one of many gateways meeting every backend: a connection each, used once and
     /// closed as idle, and so few answers from each that choice goes by luck. A gateway keeps to a
-    /// stretch of the backends in the order of their ids, which is the same everywhere, beginning at its
+    /// subset of the backends in the order of their ids, which is the same everywhere, beginning at its
     /// own place; so each backend is met by about as many. What is cold or distrusted counts less, and
-    /// the stretch goes on for it. Each change of the list moves all places after it: those that the gateway
-    /// has come first as long as they lie near the stretch, or it would open connections all anew.
+    /// the subset goes on for it. Each change of the list moves all places after it: those that the gateway
+    /// has come first as long as they lie near the subset, or it would open connections all anew.
     fn circle(&self, now: Millis, has: &[BackendId], fleet: &Fleet) -> Vec<usize> {
         let (count, gateways) = (fleet.ready.len(), self.terms.gateways);
         let wanted = (CIRCLE_GATEWAYS * count as f64 / gateways).max(CIRCLE_LEAST);
         let own = f64::from(self.terms.set.me % self.terms.set.gateways.max(1)) / gateways;
         let slack = ((CIRCLE_SLACK * wanted) as usize).min(count);
         let first = (own * count as f64) as usize + count - slack;
-        let stretch = |step: usize| fleet.ready[(first + step) % count];
+        let subset = |step: usize| fleet.ready[(first + step) % count];
         let mut kept = vec![false; fleet.all.len()];
         has.iter().filter_map(|id| fleet.find(*id)).for_each(|at| kept[at] = true);
         let near = (has.len().max(wanted as usize) + 2 * slack).min(count);
-        let known = |step: &usize| *step < near && kept[stretch(*step)];
+        let known = |step: &usize| *step < near && kept[subset(*step)];
         let rest = (slack..count).chain(0..slack).filter(|step| !known(step));
         let mut held = 0.0;
-        let circle = (0..near).filter(known).chain(rest).map(stretch).take_while(|at| {
+        let circle = (0..near).filter(known).chain(rest).map(subset).take_while(|at| {
             let (backend, more) = (&fleet.all[*at], held < wanted);
             if backend.ejections == 0 && fleet.shunned(now, backend) <= FORGOTTEN {
                 held += self.terms.set.warmth(now, &backend.entry);
@@ -95,9 +95,9 @@
         circle.collect()
     }
 
-    /// Takes up the stretch of backends that the gateway keeps to. One that is new to it gets a connection
+    /// Takes up the subset of backends that the gateway keeps to. One that is new to it gets a connection
     /// ahead of the request that is expected there, if one is soon. Now and then one that lies beside the
-    /// stretch is let go, or a new backend among kept ones would be met by nobody: while it warms they come.
+    /// subset is let go, or a new backend among kept ones would be met by nobody: while it warms they come.
     fn keep_to(&mut self, now: Millis, fleet: &Fleet, rng: &mut Pcg32) -> Vec<usize> {
         let circle = self.circle(now, &self.kept, fleet);
         let id = |at: &usize| fleet.all[*at].entry.id;
@@ -111,8 +111,8 @@
         let part = 4.0 * (now - self.kept_at) / self.terms.set.warm_up.max(1.0);
         self.kept_at = now;
         if chance(rng) < part {
-            let stretch = self.circle(now, &[], fleet);
-            let beside = circle.iter().position(|at| !stretch.contains(at));
+            let subset = self.circle(now, &[], fleet);
+            let beside = circle.iter().position(|at| !subset.contains(at));
             beside.map(|place| self.kept.remove(place));
         }
         circle
--- a/src/rules/guards.rs
+++ b/src/rules/guards.rs
@@ -17,7 +17,7 @@
 const CALM: f64 = 0.95; // opening above which, and lack of pressure by which, there is room for a repeat
 const SLACK_USED: f64 = 0.9; // part of a ceiling's slack that the parts make use of; the rest is for rounding
 
-/// How much the backends can bear, as a gateway feels it.
+/// How much the backends can bear, as a gateway observes it.
 pub(super) struct Opening {
     terms: Arc<Terms>,
     pub open: f64, // part of the quotas that they can bear, as slow answers tell; last told at `answer_at`
@@ -33,17 +33,17 @@
         Opening { terms, open, answer_at: 0.0, pressure: 0.0, pressure_at: 0.0 }
     }
 
-    pub fn feel_pressure(&mut self, now: Millis, least_wait: Millis) {
+    pub fn observe_pressure(&mut self, now: Millis, least_wait: Millis) {
         let keep = (-(now - self.pressure_at) / (PRESSURE_AIMS * self.terms.aim)).exp();
-        let felt = (2.0 * least_wait / (WAIT_LIMIT * self.terms.aim) - 1.0).clamp(0.0, 1.0);
-        self.pressure = self.pressure * keep + felt * (1.0 - keep);
+        let observed = (2.0 * least_wait / (WAIT_LIMIT * self.terms.aim) - 1.0).clamp(0.0, 1.0);
+        self.pressure = self.pressure * keep + observed * (1.0 - keep);
         self.pressure_at = now;
     }
 
     /// Guards against queues that others fill: where many gateways share a fleet, each has hardly any attempt
     /// out at a backend, so its own load tells nothing while answers get slow everywhere. All let in less by
     /// the same measure, until answers take the target part of their aims on average.
-    pub fn feel_answer(&mut self, now: Millis, part_of_aim: f64) {
+    pub fn observe_answer(&mut self, now: Millis, part_of_aim: f64) {
         let Terms { gateways, aim, .. } = *self.terms;
         // One of many hears so little that each answer has to tell it more.
         let step = OPENING_STEP * gateways.cbrt() * ((now - self.answer_at) / aim).min(1.0);
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -13,7 +13,7 @@
 use admission::{Quotas, Seen};
 use attempts::{Attempts, Live, Reach, Try};
 use backends::{Fleet, Flight};
-use choice::{Ask, Choice, Stretch};
+use choice::{Ask, Choice, Subset};
 use guards::Opening;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -40,7 +40,7 @@
     quotas: Quotas,
     opening: Opening,
     fleet: Fleet,
-    stretch: Stretch,
+    subset: Subset,
     attempts: Attempts,
     stop: Option<Millis>, // when a planned stop has all answered, once there is one
 }
@@ -56,7 +56,7 @@
             quotas: Quotas::new(terms.clone()),
             opening: Opening::new(terms.clone()),
             fleet: Fleet::new(terms.clone()),
-            stretch: Stretch::new(terms.clone()),
+            subset: Subset::new(terms.clone()),
             attempts: Attempts::new(terms.clone()),
             stop: None,
             terms,
@@ -83,7 +83,7 @@
             Event::Present(doors) => self.fleet.doors = self.terms.gateways.max(doors.into()),
             Event::Probed { .. } => {} // none are sent: load is judged by this gateway's own attempts
         }
-        actions.append(&mut self.stretch.warm);
+        actions.append(&mut self.subset.warm);
     }
 
     /// How many customers the gateway holds an entry of.
@@ -118,7 +118,7 @@
     /// Lets a request in and names its backend, or tells how long the reason to refuse it will last.
     fn admit(&mut self, now: Millis, live: &Live) -> Result<Choice, Refused> {
         let request = &live.request;
-        self.opening.feel_pressure(now, self.fleet.least_wait());
+        self.opening.observe_pressure(now, self.fleet.least_wait());
         let seen = Seen {
             age: now - self.born.unwrap_or(now),
             pressure: self.opening.pressure.max(1.0 - self.opening.open),
@@ -127,7 +127,7 @@
             luck: chance(&mut self.rng),
         };
         self.quotas.admit(now, request, &seen)?;
-        self.stretch.asked(now, request.units);
+        self.subset.asked(now, request.units);
         let choice = self.choose(now, live).ok_or((Why::Room, None))?;
         // A client that leaves before an answer can be expected would come again after work done for nothing.
         let expected = choice.wait + choice.pace * request.units;
@@ -141,7 +141,7 @@
 
     fn choose(&mut self, now: Millis, live: &Live) -> Option<Choice> {
         let reach = self.attempts.reach(now, live);
-        self.stretch.choose(&Ask { now, live, reach, fleet: &self.fleet }, &mut self.rng)
+        self.subset.choose(&Ask { now, live, reach, fleet: &self.fleet }, &mut self.rng)
     }
 
     fn refusal(&self, request: RequestId, (why, wait): Refused) -> Action {
@@ -150,7 +150,7 @@
         Action::Refuse { request, retry_after, why }
     }
 
-    /// When an answer is slow. It is felt at once: a time-out is news when queues have long filled.
+    /// When an answer is slow. It is observed at once: a time-out is news when queues have long filled.
     fn slow_mark(&self, live: &Live) -> Millis {
         // A larger request than usual has more time.
         let size = (live.request.units / self.quotas.usual.max(0.01)).max(1.0);
@@ -173,7 +173,7 @@
             let alarm = AlarmId(u64::from(live.sends + 1) << 32 | u64::from(id.0));
             actions.push(Action::SetAlarm { at: now + patience, alarm });
         }
-        let (care, begin_before) = (self.attempts.care(now, live), self.attempts.key_expires(live));
+        let (delivery, begin_before) = (self.attempts.delivery(now, live), self.attempts.key_expires(live));
         let flight = Flight { at: now, class: live.request.class, load, units };
         self.quotas.customers.entry(live.request.customer).and_modify(|customer| customer.cap.open += 1);
         self.fleet.all[at].sent(now, id, flight, to.even_rate, &self.terms.set);
@@ -183,7 +183,7 @@
             live.sends += 1;
         });
         let (backend, limit) = (to.backend, Some(limit));
-        actions.push(Action::Send { request: id, backend, limit, begin_before, care });
+        actions.push(Action::Send { request: id, backend, limit, begin_before, delivery });
     }
 
     fn settled(&mut self, now: Millis, settled: &Settled, actions: &mut Vec<Action>) {
@@ -197,11 +197,11 @@
         let live = live.clone();
         let served = settled.outcome == Outcome::Ok;
         if served {
-            self.attempts.feel_service(live.request.class, settled.elapsed.max(0.0));
+            self.attempts.observe_service(live.request.class, settled.elapsed.max(0.0));
         }
         if served && !live.slow {
             let mark = self.slow_mark(&live) - live.arrived;
-            self.opening.feel_answer(now, (guards::SLOW_AIMS * (now - live.arrived) / mark).min(1.0));
+            self.opening.observe_answer(now, (guards::SLOW_AIMS * (now - live.arrived) / mark).min(1.0));
         }
         if settled.broken > 0 {
             self.attempts.broke_at = now;
@@ -264,7 +264,7 @@
         actions.push(Action::SetAlarm { at: cut, alarm: AlarmId(u64::from(id.0)) });
         // What hangs is no sign of queues: a fallen opening would refuse what the backends have room for.
         if !live.out.first().is_some_and(|out| self.fleet.hung(now, out.to, id)) {
-            self.opening.feel_answer(now, 1.0);
+            self.opening.observe_answer(now, 1.0);
         }
         self.attempts.live.entry(id).and_modify(|live| live.slow = true);
     }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -427,23 +427,26 @@
 #[test]
 fn caution_is_for_what_must_not_run_twice_and_for_times_of_trouble() {
     let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0), ready(2, 0)]);
-    let mut care = |now: Millis, id: u32, class: usize, broken: u32| {
+    let mut delivery = |now: Millis, id: u32, class: usize, broken: u32| {
         let at = stage.arrive(now, request(id, class, now)).expect("room");
         let sent = stage.actions.iter().find_map(|a| match a {
-            Action::Send { care, .. } => Some(*care),
+            Action::Send { delivery, .. } => Some(*delivery),
             _ => None,
         });
         stage.play(now + 1.0, Event::Settled(Settled { broken, ..settled(id, 0, at, Outcome::Ok) }));
         sent
     };
     assert_eq!(
-        [0, 1, 2].map(|class| care(10.0, class as u32 + 1, class, 0)),
-        [Care::Usual, Care::Usual, Care::Once].map(Some)
+        [0, 1, 2].map(|class| delivery(10.0, class as u32 + 1, class, 0)),
+        [DeliveryMode::Normal, DeliveryMode::Normal, DeliveryMode::Once].map(Some)
     );
     // One that broke under a good attempt counts too.
-    assert_eq!(care(20.0, 4, 0, 1), Some(Care::Usual));
-    assert_eq!([0, 1].map(|class| care(30.0, class as u32 + 5, class, 0)), [Care::Proof; 2].map(Some));
-    assert_eq!(care(60_000.0, 7, 0, 0), Some(Care::Usual));
+    assert_eq!(delivery(20.0, 4, 0, 1), Some(DeliveryMode::Normal));
+    assert_eq!(
+        [0, 1].map(|class| delivery(30.0, class as u32 + 5, class, 0)),
+        [DeliveryMode::Cautious; 2].map(Some)
+    );
+    assert_eq!(delivery(60_000.0, 7, 0, 0), Some(DeliveryMode::Normal));
 }
 
 /// Guards against a backend that lets one class hang and answers the others: that class avoids it for a while, the
