Split the fleet simulation's library into modules with one job each

Need: one file of 1,243 lines held chance, scenarios, figures and the whole simulated world.

Change: code is moved, not altered. `chance`, `scenario`, `tally` and `world` stand beside `crowd` and `pooling`; the crate's root re-exports what it had. Below `world` stand attempts, backends, clients, dispatch, doors, faults, figures, links, network and schedule. What only one module uses is private to it. The dial's time-out, the work of a handshake and the span of the load sum are named constants of their modules, and random words come from a method of `Chance` in place of its field.

`cargo test -p cometspool-fleet`: 15 pass before, 15 after. With the feature `base` the crate compiles against the state (checked, not run).

--- a/crates/fleet/src/pooling.rs
+++ b/crates/fleet/src/pooling.rs
@@ -1,6 +1,6 @@
 //! The links between front doors and backends: the pools' core as it serves, and what was there before it.
 
-use crate::Millis;
+use cometspool::Millis;
 
 #[cfg(not(feature = "base"))]
 #[path = "../../../src/net/links.rs"]
--- /dev/null
+++ b/crates/fleet/src/tally.rs
@@ -0,0 +1,70 @@
+//! The figures of a run.
+
+use crate::crowd::Ledger;
+use cometspool::Millis;
+
+/// What a run gave.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// Requests of clients.
+    pub asked: u64,
+    /// Their worth, and the worth of those served within their aims.
+    pub worth: f64,
+    /// Worth served in time.
+    pub served: f64,
+    /// Requests served, refused at once and failed.
+    pub ends: [u64; 3],
+    /// Requests that failed after their aim had passed or more than half of their time had.
+    pub late_failures: u64,
+    /// Attempts sent, first ones among them.
+    pub sends: u64,
+    /// First attempts.
+    pub firsts: u64,
+    /// First attempts that did not come to a good answer.
+    pub first_failed: u64,
+    /// Work that backends did, and the part of it for attempts that served nobody in time.
+    pub work: f64,
+    /// Wasted work.
+    pub wasted: f64,
+    /// Worth asked and served by second.
+    pub by_second: Vec<(f64, f64)>,
+    /// First attempts by second, and those of them to backends that were ill or cut off.
+    pub to_ill: Vec<(u64, u64)>,
+    /// Highest load put on a backend in 2 s, over what it could do in them.
+    pub peak_over_capacity: f64,
+    /// Attempts that crossed zones.
+    pub crossings: u64,
+    /// Times that a front door set a backend aside: one that is well, and one that is ill or cut off.
+    pub set_aside: [u64; 2],
+    /// Dials, and those of them that a full table refused.
+    pub dials: u64,
+    /// Dials refused by a full table.
+    pub crowded: u64,
+    /// Dials by second.
+    pub dials_by_second: Vec<u32>,
+    /// Most links open at once at each backend.
+    pub peaks: Vec<usize>,
+    /// Attempts by backend and second.
+    pub sent_to: Vec<Vec<u32>>,
+    /// When each backend started, and until when it took requests.
+    pub lives: Vec<(Millis, Millis)>,
+    /// What came of the customers' quotas.
+    pub ledger: Ledger,
+}
+
+impl Tally {
+    /// Part of the worth asked that was served in time.
+    pub fn share(&self) -> f64 {
+        self.served / self.worth.max(1e-9)
+    }
+
+    /// The lowest share served in any ten seconds that begin with a whole one, from `from` on.
+    pub fn worst_ten(&self, from: usize) -> f64 {
+        let seconds = self.by_second.get(from..).unwrap_or(&[]);
+        let share = |ten: &[(f64, f64)]| {
+            let (asked, served) = ten.iter().fold((0.0, 0.0), |(a, s), second| (a + second.0, s + second.1));
+            served / f64::max(asked, 1e-9)
+        };
+        seconds.windows(10).map(share).fold(1.0, f64::min)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/world/attempts.rs
@@ -0,0 +1,168 @@
+//! Attempts of front doors at backends, and the calls that backends make below them.
+
+use super::schedule::What;
+use super::World;
+use crate::scenario::Ill;
+use cometspool::{BackendId, Event, Millis, Outcome, Report, RequestId, Settled};
+
+/// An attempt of a front door, or a call of one backend to another.
+pub(super) struct Call {
+    /// The request that it serves.
+    pub(super) request: u32,
+    /// The front door's number of it, or the call of another backend that it is part of.
+    pub(super) from: Result<(usize, u32), usize>,
+    pub(super) backend: usize,
+    pub(super) sent: Millis,
+    /// What the backend was told that it has, as a time.
+    pub(super) until: Millis,
+    pub(super) work: f64,
+    /// Work done for it, and below it.
+    pub(super) done: f64,
+    pub(super) settled: bool,
+    pub(super) working: bool,
+    pub(super) reached: bool,
+    /// Where it stands: without links, waiting for one, or on one.
+    pub(super) link: Option<u64>,
+    pub(super) waits: bool,
+}
+
+impl World {
+    pub(super) fn send(&mut self, door: usize, request: u32, to: BackendId, limit: Option<Millis>) {
+        let asked = &mut self.asked[request as usize];
+        let number = asked.sends;
+        asked.sends += 1;
+        // Its client's own time, or what a front door that stood still takes for it, ends it; the latter when it is told.
+        let limit = limit.unwrap_or(asked.deadline - self.now);
+        let work = asked.work;
+        let backend = self.by_id[&to];
+        let call = self.calls.len();
+        self.asked[request as usize].out.push(call);
+        let (worth, customer, now) = (self.worth(request), self.asked[request as usize].customer, self.now);
+        if let Some(crowd) = &mut self.crowd {
+            if number == 0 {
+                self.asked[request as usize].inside = crowd.sent_on(customer, now, worth);
+            }
+            crowd.all[customer].out += 1;
+        }
+        let way = self.way(self.doors[door].zone, self.nodes[backend].spec.zone);
+        let until = self.now + limit - if self.spec.tells_less { way } else { 0.0 };
+        self.tally.sends += 1;
+        if number == 0 {
+            self.tally.firsts += 1;
+            let bad = self.bad(door, backend);
+            let _ = self.second();
+            let entry = self.tally.to_ill.last_mut().expect("a second");
+            *entry = (entry.0 + 1, entry.1 + u64::from(bad));
+        }
+        if self.doors[door].zone != self.nodes[backend].spec.zone {
+            self.tally.crossings += 1;
+        }
+        self.call(request, Ok((door, number)), backend, until, work);
+        let second = (self.now / 1000.0) as usize;
+        let sent = &mut self.tally.sent_to[backend];
+        sent.resize(sent.len().max(second + 1), 0);
+        sent[second] += 1;
+        self.at(self.now + limit, What::TimeOut(call));
+        if self.spec.table.is_some() {
+            self.take_link(call);
+        } else {
+            self.set_out(call);
+        }
+    }
+
+    /// Notes a call, of a front door or of a backend, to a backend.
+    pub(super) fn call(
+        &mut self,
+        request: u32,
+        from: Result<(usize, u32), usize>,
+        backend: usize,
+        until: Millis,
+        work: f64,
+    ) {
+        self.asked[request as usize].calls.push(self.calls.len());
+        self.calls.push(Call {
+            request,
+            from,
+            backend,
+            sent: self.now,
+            until,
+            work,
+            done: 0.0,
+            settled: false,
+            working: false,
+            reached: false,
+            link: None,
+            waits: false,
+        });
+    }
+
+    /// An attempt goes out, on its link if these are modelled.
+    pub(super) fn set_out(&mut self, call: usize) {
+        let (Ok((door, _)), backend) = (self.calls[call].from, self.calls[call].backend) else { return };
+        let way = self.way(self.doors[door].zone, self.nodes[backend].spec.zone);
+        if !self.reaches(self.doors[door].zone, self.nodes[backend].spec.zone) {
+            return;
+        }
+        match self.nodes[backend].spec.ill {
+            Ill::Dead => self.at(self.now + 2.0 * way, What::Back(call, Outcome::ConnectFailed)),
+            Ill::Silent => {}
+            _ => self.at(self.now + way, What::Begin(call)),
+        }
+    }
+
+    /// An attempt of a front door ends for it, or a call for the backend that made it.
+    pub(super) fn back(&mut self, call: usize, outcome: Outcome) {
+        if std::mem::replace(&mut self.calls[call].settled, true) {
+            return;
+        }
+        self.let_go(call, outcome);
+        self.leave_link(call, outcome);
+        let (request, backend, sent) =
+            (self.calls[call].request, self.calls[call].backend, self.calls[call].sent);
+        let (door, number) = match self.calls[call].from {
+            Ok(from) => from,
+            Err(above) => {
+                // The backend above answers with what it got, and has its core back.
+                self.free(self.calls[above].backend);
+                let outcome = if outcome == Outcome::Ok { Outcome::Ok } else { Outcome::Error };
+                self.answer(above, outcome);
+                return;
+            }
+        };
+        let asked = &mut self.asked[request as usize];
+        let customer = asked.customer;
+        let told = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+        let (now, mut use_of_quota) = (self.now, None);
+        if let Some(crowd) = &mut self.crowd {
+            crowd.all[customer].out -= 1;
+            use_of_quota = if told { crowd.use_told(customer, now, &mut self.chance) } else { None };
+        }
+        asked.out.retain(|out| *out != call);
+        asked.first_ok.get_or_insert(outcome == Outcome::Ok);
+        if outcome == Outcome::Ok {
+            self.answered(request, 0);
+        }
+        let closed = self.asked[request as usize].answered;
+        let settled = Settled {
+            request: RequestId(request),
+            attempt: number,
+            backend: self.nodes[backend].id,
+            outcome,
+            elapsed: self.now - sent,
+            closed,
+            use_of_quota,
+            true_units: None,
+            report: Report::default(),
+            broken: 0,
+        };
+        self.tell(door, Event::Settled(settled));
+    }
+
+    /// Whoever gave an attempt up closes its connection: what still waits for a core is dropped.
+    fn let_go(&mut self, call: usize, outcome: Outcome) {
+        if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) {
+            let backend = self.calls[call].backend;
+            self.nodes[backend].waiting.retain(|waiting| *waiting != call);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/world/clients.rs
@@ -0,0 +1,194 @@
+//! The clients: their requests and further tries, and the one final answer of each.
+
+use super::schedule::What;
+use super::World;
+use cometspool::{ClassId, CustomerId, Event, Millis, PlanId, Request, RequestId};
+
+/// A try of a client's request at one front door.
+pub(super) struct Asked {
+    pub(super) door: usize,
+    /// Whose it is; which try of its client; when the first came; whether it was sent on within the quota.
+    pub(super) customer: usize,
+    pub(super) tries: u32,
+    pub(super) first: Millis,
+    pub(super) inside: bool,
+    pub(super) class: usize,
+    pub(super) came: Millis,
+    pub(super) deadline: Millis,
+    pub(super) out: Vec<usize>,
+    pub(super) sends: u32,
+    pub(super) answered: bool,
+    /// Work of an attempt of it, at each backend it meets.
+    pub(super) work: f64,
+    pub(super) calls: Vec<usize>,
+    pub(super) served_in_time: bool,
+    pub(super) first_ok: Option<bool>,
+}
+
+impl Asked {
+    fn new(door: usize, customer: usize, class: usize, came: Millis, deadline: Millis, work: f64) -> Asked {
+        Asked {
+            door,
+            customer,
+            tries: 0,
+            first: came,
+            inside: true,
+            class,
+            came,
+            deadline,
+            out: Vec::new(),
+            sends: 0,
+            answered: false,
+            work,
+            calls: Vec::new(),
+            served_in_time: false,
+            first_ok: None,
+        }
+    }
+}
+
+impl World {
+    pub(super) fn arrive(&mut self, door: usize) {
+        if self.now > self.spec.length {
+            return;
+        }
+        let next = self.now + self.chance.exponential(1000.0 / self.spec.rate);
+        self.at(next, What::Arrive(door));
+        let id = self.asked.len();
+        self.come(door, id % 64);
+    }
+
+    pub(super) fn ask_next(&mut self, customer: usize) {
+        let Some(crowd) = &self.crowd else { return };
+        let (at, asks) = crowd.next(customer, self.now, &mut self.chance);
+        self.at(at, What::Ask(customer, asks));
+    }
+
+    pub(super) fn ask(&mut self, customer: usize, asks: bool) {
+        if self.now > self.spec.length {
+            return;
+        }
+        self.ask_next(customer);
+        let now = self.now;
+        let Some(crowd) = self.crowd.as_mut().filter(|_| asks) else { return };
+        let door = crowd.door(customer, now, &mut self.chance);
+        let id = self.come(door, customer);
+        let worth = self.worth(id);
+        if let Some(crowd) = &mut self.crowd {
+            crowd.asked(customer, now, worth);
+            crowd.ledger.tries += 1;
+        }
+    }
+
+    /// A client comes again, with a new id and what is left of its time.
+    pub(super) fn again(&mut self, before: u32) {
+        let asked = &self.asked[before as usize];
+        let (customer, class, first, tries) = (asked.customer, asked.class, asked.first, asked.tries + 1);
+        let (work, deadline, now) = (asked.work, asked.deadline, self.now);
+        let Some(crowd) = self.crowd.as_mut().filter(|_| now < deadline) else { return };
+        let door = crowd.door(customer, now, &mut self.chance);
+        crowd.ledger.tries += 1;
+        self.enter(Asked { first, tries, ..Asked::new(door, customer, class, now, deadline, work) });
+    }
+
+    /// A try is on its way to its front door, and its client waits until the deadline.
+    fn enter(&mut self, asked: Asked) -> u32 {
+        let (id, deadline) = (self.asked.len() as u32, asked.deadline);
+        self.asked.push(asked);
+        self.at(self.now, What::Read(id));
+        self.at(deadline, What::Deadline(id));
+        id
+    }
+
+    pub(super) fn worth(&self, request: u32) -> f64 {
+        self.spec.classes[self.asked[request as usize].class].class.worth
+    }
+
+    /// A try is refused: its client may come again.
+    pub(super) fn refused(&mut self, request: u32, told: Option<Millis>, why: String) {
+        let asked = &self.asked[request as usize];
+        let (fresh, customer, tries) = (!asked.answered, asked.customer, asked.tries);
+        self.answered(request, 1);
+        let now = self.now;
+        let Some(crowd) = self.crowd.as_mut().filter(|_| fresh) else { return };
+        crowd.refused(customer, now, why);
+        let (most, wait) = crowd.again();
+        if tries < most {
+            let wait = told.unwrap_or(wait * f64::from(1 << tries)) * (0.75 + 0.5 * self.chance.even());
+            self.at(now + wait.max(1.0), What::Again(request));
+        }
+    }
+
+    /// A request of a customer comes to a door.
+    fn come(&mut self, door: usize, customer: usize) -> u32 {
+        let mut luck = self.chance.even() * self.spec.classes.iter().map(|class| class.share).sum::<f64>();
+        let mut class = 0;
+        while class + 1 < self.spec.classes.len() && luck >= self.spec.classes[class].share {
+            luck -= self.spec.classes[class].share;
+            class += 1;
+        }
+        let spec = &self.spec.classes[class];
+        let (mean, cv) = (spec.work, spec.cv);
+        let patience = self.spec.patience + (1.0 - self.spec.patience) * self.chance.even();
+        let deadline = self.now + spec.class.deadline * patience;
+        let work = self.chance.lognormal(mean, cv);
+        self.tally.asked += 1;
+        let worth = self.spec.classes[class].class.worth;
+        self.tally.worth += worth;
+        self.second().0 += worth;
+        self.enter(Asked::new(door, customer, class, self.now, deadline, work))
+    }
+
+    /// A front door has a request: at once, or when it stands still no longer.
+    pub(super) fn read(&mut self, id: u32) {
+        let asked = &self.asked[id as usize];
+        let (door, waited) = (asked.door, self.now - asked.came);
+        let granted = if self.spec.charges_lag { asked.deadline } else { asked.deadline + waited };
+        if asked.answered || granted <= self.now {
+            self.answered(id, 2);
+            return;
+        }
+        let whose = self.crowd.as_ref().map(|crowd| &crowd.all[asked.customer]);
+        let request = Request {
+            id: RequestId(id),
+            customer: CustomerId(asked.customer as u64),
+            plan: PlanId(whose.map_or(0, |customer| customer.plan)),
+            class: ClassId(asked.class),
+            units: 1.0,
+            deadline: granted,
+            spread: whose.map_or(1.0, |customer| customer.doors.len() as f64),
+            #[cfg(not(feature = "base"))]
+            again: false,
+            #[cfg(not(feature = "base"))]
+            waited: if self.spec.charges_lag { waited } else { 0.0 },
+        };
+        self.tell(door, Event::Arrival(request));
+    }
+
+    /// The one final answer: served, refused or failed.
+    pub(super) fn answered(&mut self, request: u32, end: usize) {
+        let asked = &mut self.asked[request as usize];
+        if std::mem::replace(&mut asked.answered, true) {
+            return;
+        }
+        let class = &self.spec.classes[asked.class].class;
+        let took = self.now - asked.came;
+        self.tally.ends[end] += 1;
+        let late = took >= class.aim || took > 0.5 * (asked.deadline - asked.came);
+        if end > 0 && late {
+            self.tally.late_failures += 1;
+        }
+        let (customer, inside, in_time) = (asked.customer, asked.inside, self.now - asked.first <= class.aim);
+        let worth = class.worth;
+        if let Some(crowd) = self.crowd.as_mut().filter(|_| end == 0 && in_time) {
+            crowd.served(customer, worth, inside);
+        }
+        let asked = &mut self.asked[request as usize];
+        if end == 0 && took <= class.aim {
+            let (worth, came) = (class.worth, (asked.came / 1000.0) as usize);
+            asked.served_in_time = true;
+            self.tally.served += worth;
+            self.tally.by_second[came].1 += worth;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/world/doors.rs
@@ -0,0 +1,79 @@
+//! The front doors: events go into their gateways, and actions that come back are carried out.
+
+use super::schedule::What;
+use super::World;
+use crate::pooling::Pool;
+use crate::scenario::{Ill, Spec};
+use cometspool::{Action, Availability, BackendId, Event, Gateway, ListKind, Outcome, Settings, ZoneId};
+
+/// A front door: the module as it serves, and the model of its pool of links.
+pub(super) struct DoorModel {
+    pub(super) gateway: Gateway,
+    pub(super) zone: u32,
+    pub(super) pool: Pool,
+}
+
+/// What a front door is told.
+pub(super) fn door_settings(spec: &Spec, me: u32, zone: u32) -> Settings {
+    let classes = spec.classes.iter().map(|class| class.class.clone()).collect();
+    Settings { me, zone: ZoneId(zone), classes, ..spec.settings.clone() }
+}
+
+impl World {
+    pub(super) fn tell(&mut self, door: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.doors[door].gateway.handle(self.now, event, &mut actions);
+        self.carry_out(door, actions);
+    }
+
+    pub(super) fn carry_out(&mut self, door: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { request, backend, limit, .. } => self.send(door, request.0, backend, limit),
+                #[cfg(not(feature = "base"))]
+                Action::Refuse { request, retry_after, why } => {
+                    self.refused(request.0, retry_after, format!("{why:?}"));
+                }
+                #[cfg(feature = "base")]
+                Action::Refuse { request, retry_after } => {
+                    self.refused(request.0, retry_after, String::new());
+                }
+                Action::Fail(request) => self.answered(request.0, 2),
+                Action::CallOff { request, attempt } => {
+                    let out = &self.asked[request.0 as usize].out;
+                    let is = |call: &&usize| matches!(self.calls[**call].from, Ok((_, n)) if n == attempt);
+                    if let Some(call) = out.iter().find(is).copied() {
+                        self.back(call, Outcome::Cancelled);
+                    }
+                }
+                Action::SetAlarm { at, alarm } => self.at(at.max(self.now), What::Alarm(door, alarm)),
+                Action::Log(text) if text.contains("set aside") => {
+                    let word = text.split(' ').nth(1).and_then(|id| id.parse().ok());
+                    let backend = word.and_then(|id| self.by_id.get(&BackendId(id))).copied();
+                    let ill = backend.is_some_and(|backend| self.bad(door, backend));
+                    self.tally.set_aside[usize::from(ill)] += 1;
+                }
+                Action::CloseIdle(backend) => {
+                    let backend = self.by_id[&backend];
+                    self.pool(door, |pool, _, acts| pool.silent(backend, acts));
+                }
+                #[cfg(not(feature = "base"))]
+                Action::Warm { backend, within } if self.spec.table.is_some() => {
+                    let backend = self.by_id[&backend];
+                    self.pool(door, |pool, now, acts| pool.ahead(now, backend, within, acts));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// What it had at hand is lost; its clients wait in vain.
+    pub(super) fn restart(&mut self, door: usize) {
+        let (zone, seed) = (self.doors[door].zone, u64::from(self.chance.word()));
+        self.doors[door].gateway = Gateway::new(door_settings(&self.spec, door as u32, zone), seed);
+        let up = |node: &usize| self.nodes[*node].spec.listed && self.nodes[*node].spec.ill != Ill::Dead;
+        let up: Vec<usize> = (0..self.nodes.len()).filter(up).collect();
+        let list = up.into_iter().map(|node| self.entry(node, Availability::Ready)).collect();
+        self.tell(door, Event::Backends(ListKind::Cached, list));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/world/faults.rs
@@ -0,0 +1,41 @@
+//! The faults of a scenario, and how the front doors hear of a state of a backend.
+
+use super::schedule::What;
+use super::World;
+use crate::scenario::{BackendSpec, Fault, Ill};
+use cometspool::Availability;
+
+impl World {
+    pub(super) fn fault(&mut self, fault: usize) {
+        match self.spec.faults[fault].1.clone() {
+            Fault::Ill(node, ill) => {
+                self.nodes[node].spec.ill = ill;
+                if ill == Ill::Dead {
+                    self.reset_links(node);
+                    self.tally.lives[node].1 = self.now;
+                    self.nodes[node].waiting.clear();
+                }
+            }
+            Fault::Cut(zone, cut) => {
+                self.cut.insert(zone, cut);
+            }
+            Fault::Told(node, state) => self.spread(node, state),
+            Fault::Restart(door) => self.restart(door),
+            Fault::Start(node) => {
+                let spec =
+                    BackendSpec { started: Some(self.now), ill: Ill::No, ..self.nodes[node].spec.clone() };
+                let fresh = self.add(spec);
+                self.spread(fresh, Availability::Ready);
+            }
+        }
+    }
+
+    /// All front doors hear of a state of a backend within the next half second.
+    fn spread(&mut self, node: usize, state: Availability) {
+        let entry = self.entry(node, state);
+        for door in 0..self.doors.len() {
+            let at = self.now + 500.0 * self.chance.even();
+            self.at(at, What::Told(door, vec![entry]));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/world/figures.rs
@@ -0,0 +1,49 @@
+//! The sums of a run: worth by second, and at the end the work that was of use and that which was wasted.
+
+use super::clients::Asked;
+use super::World;
+use crate::tally::Tally;
+
+impl World {
+    pub(super) fn second(&mut self) -> &mut (f64, f64) {
+        let second = (self.now / 1000.0) as usize;
+        if self.tally.by_second.len() <= second {
+            self.tally.by_second.resize(second + 1, (0.0, 0.0));
+            self.tally.to_ill.resize(second + 1, (0, 0));
+        }
+        &mut self.tally.by_second[second]
+    }
+
+    pub(super) fn close(mut self) -> Tally {
+        if let Some(crowd) = &self.crowd {
+            self.tally.ledger = crowd.ledger.clone();
+        }
+        for asked in &self.asked {
+            let mut done = 0.0;
+            for call in &asked.calls {
+                done += self.calls[*call].done;
+            }
+            self.tally.work += done;
+            // One good answer in time is worth one run of the work at each backend on its way; the rest is waste.
+            let useful = if asked.served_in_time { self.useful(asked) } else { 0.0 };
+            self.tally.wasted += done - useful;
+            self.tally.first_failed += u64::from(asked.first_ok == Some(false));
+        }
+        self.tally
+    }
+
+    /// Work on the way to the first attempt that came to its end: its own and what it called.
+    fn useful(&self, asked: &Asked) -> f64 {
+        let best = asked.calls.iter().filter(|call| self.calls[**call].from.is_ok());
+        let chain = |call: usize| -> f64 {
+            let mut sum = self.calls[call].done;
+            let mut above = call;
+            while let Some(below) = asked.calls.iter().find(|c| self.calls[**c].from == Err(above)) {
+                sum += self.calls[*below].done;
+                above = *below;
+            }
+            sum
+        };
+        best.map(|call| chain(*call)).fold(0.0, f64::max)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/world/links.rs
@@ -0,0 +1,142 @@
+//! The links between front doors and backends: dials, handshakes and ends.
+
+use super::schedule::What;
+use super::World;
+use crate::pooling::{Act, Dialled, Got, Pool};
+use crate::scenario::Ill;
+use cometspool::{Effect, Millis, Outcome};
+
+/// Time after which a dial that nobody answers is given up.
+const DIAL_TIMEOUT: Millis = 250.0;
+/// Work of a handshake.
+const HANDSHAKE: f64 = 1.0;
+
+/// A link between a front door and a backend.
+pub(super) struct Link {
+    pub(super) backend: usize,
+    /// Whether the backend's process still has it, and whether its front door has heard that it is gone.
+    pub(super) open: bool,
+    pub(super) reset: bool,
+}
+
+impl World {
+    /// Tells a front door's pool something and does what comes of it.
+    pub(super) fn pool<T>(
+        &mut self,
+        door: usize,
+        tell: impl FnOnce(&mut Pool, Millis, &mut Vec<Act>) -> T,
+    ) -> T {
+        let mut acts = Vec::new();
+        let told = tell(&mut self.doors[door].pool, self.now, &mut acts);
+        for act in acts {
+            match act {
+                Act::Dial(backend, call) => self.dial(door, backend, call),
+                Act::Give(call, link) => {
+                    self.calls[call].waits = false;
+                    self.calls[call].link = Some(link);
+                    self.set_out(call);
+                }
+                Act::Fail(call, full) => {
+                    self.calls[call].waits = false;
+                    self.back(call, if full { Outcome::Full } else { Outcome::ConnectFailed });
+                }
+                Act::Close(link) => self.close_link(link),
+                Act::Wake(backend, at) => self.at(at, What::Wake(door, backend)),
+            }
+        }
+        told
+    }
+
+    pub(super) fn take_link(&mut self, call: usize) {
+        let (Ok((door, _)), backend) = (self.calls[call].from, self.calls[call].backend) else { return };
+        let class = self.asked[self.calls[call].request as usize].class;
+        let once = self.spec.classes[class].class.effect == Effect::Unsafe;
+        loop {
+            match self.pool(door, |pool, now, acts| pool.take(now, backend, call, once, acts)) {
+                // One that was reset is seen to be, and is none.
+                Got::Kept(link) if self.links[link as usize].reset => {
+                    self.pool(door, |pool, now, acts| pool.lost(now, backend, acts));
+                }
+                Got::Kept(link) => {
+                    self.calls[call].link = Some(link);
+                    self.set_out(call);
+                    return;
+                }
+                Got::Waits => {
+                    // It may have been given one, or none, by what came of asking.
+                    if self.calls[call].link.is_none() && !self.calls[call].settled {
+                        self.calls[call].waits = true;
+                        self.at(self.now + DIAL_TIMEOUT, What::Waited(call));
+                    }
+                    return;
+                }
+                Got::NoRoom => {
+                    self.back(call, Outcome::NotSent);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn dial(&mut self, door: usize, backend: usize, call: Option<usize>) {
+        self.tally.dials += 1;
+        let second = (self.now / 1000.0) as usize;
+        let by_second = &mut self.tally.dials_by_second;
+        by_second.resize(by_second.len().max(second + 1), 0);
+        by_second[second] += 1;
+        let (from, to) = (self.doors[door].zone, self.nodes[backend].spec.zone);
+        let silent = !self.reaches(from, to) || self.nodes[backend].spec.ill == Ill::Silent;
+        let (takes, answered) = if silent { (DIAL_TIMEOUT, false) } else { (2.0 * self.way(from, to), true) };
+        self.at(self.now + takes, What::Dialled(door, backend, call, answered));
+    }
+
+    pub(super) fn dialled(&mut self, door: usize, backend: usize, call: Option<usize>, answered: bool) {
+        let node = &self.nodes[backend];
+        let full = self.spec.table.is_some_and(|table| node.links >= table);
+        let up = answered && node.spec.ill != Ill::Dead && !full;
+        let how = if up {
+            self.press(backend, HANDSHAKE);
+            self.nodes[backend].links += 1;
+            let peak = &mut self.tally.peaks[backend];
+            *peak = (*peak).max(self.nodes[backend].links);
+            self.links.push(Link { backend, open: true, reset: false });
+            Dialled::Up(self.links.len() as u64 - 1)
+        } else {
+            self.tally.crowded += u64::from(answered && full);
+            Dialled::Refused
+        };
+        self.pool(door, |pool, now, acts| pool.dialled(now, backend, call, how, acts));
+    }
+
+    fn close_link(&mut self, link: u64) {
+        let link = &mut self.links[link as usize];
+        if std::mem::replace(&mut link.open, false) {
+            let node = &mut self.nodes[link.backend];
+            node.links = node.links.saturating_sub(1);
+        }
+    }
+
+    /// A process that dies resets its links.
+    pub(super) fn reset_links(&mut self, backend: usize) {
+        for link in self.links.iter_mut().filter(|link| link.backend == backend) {
+            (link.open, link.reset) = (false, true);
+        }
+        self.nodes[backend].links = 0;
+    }
+
+    /// An attempt is over for its front door: its link is free again, or goes with it.
+    pub(super) fn leave_link(&mut self, call: usize, outcome: Outcome) {
+        let (Ok((door, _)), backend) = (self.calls[call].from, self.calls[call].backend) else { return };
+        if std::mem::take(&mut self.calls[call].waits) {
+            self.pool(door, |pool, now, _| pool.left(now, backend, call));
+        }
+        let Some(link) = self.calls[call].link.take() else { return };
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) && !self.links[link as usize].reset
+        {
+            self.pool(door, |pool, now, acts| pool.freed(now, backend, link, acts));
+        } else {
+            self.close_link(link);
+            self.pool(door, |pool, now, acts| pool.lost(now, backend, acts));
+        }
+    }
+}
