Put the fleet section of the configuration below both its users

Need: `net/config.rs` and `net/fleet/block.rs` imported each other, and "block" is no usual name for a part of a configuration.

Change: `net/fleet_section.rs` holds the section as written and as checked, with an error type of its own; `ConfigError` wraps it, and the fleet layer imports it from there. Checking is split into short functions in the order it had, so the first fault is still the one that is told. Messages, keys and exit codes are as they were.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,7 @@
 //! What a front door is told: the `BALANCER_*` variables and the JSON file that one of them names.
 
 use super::clock::Skew;
-use super::fleet::block::{Block, Raw};
+use super::fleet_section::{FleetSection, SectionError};
 use super::members::Members;
 use cometspool::settings::{self, Told};
 use serde::Deserialize;
@@ -43,9 +43,9 @@
     /// A figure is out of bounds.
     #[error("{0}")]
     Value(String),
-    /// Something is wrong with the fleet block; the key is named.
-    #[error("{0}")]
-    Fleet(String),
+    /// Something is wrong with the `fleet` section; the key is named.
+    #[error(transparent)]
+    Fleet(#[from] SectionError),
 }
 
 impl ConfigError {
@@ -112,7 +112,7 @@
     /// Where what a successor has to know is kept; nowhere unless told.
     pub handover: Option<PathBuf>,
     /// What it is told of its fleet; nothing unless told.
-    pub fleet: Option<Block>,
+    pub fleet: Option<FleetSection>,
     /// How far its clock is off, in a test.
     pub clock: Skew,
     /// The settings.
@@ -145,7 +145,7 @@
 
     /// Descriptors that are left for clients and backends beside those of the fleet layer.
     pub fn sockets(&self) -> usize {
-        self.limits.sockets.saturating_sub(self.fleet.as_ref().map_or(0, Block::descriptors))
+        self.limits.sockets.saturating_sub(self.fleet.as_ref().map_or(0, FleetSection::descriptors))
     }
 
     /// Where discovery answers from now on, by a file that was replaced while the program runs. The file goes
@@ -168,20 +168,16 @@
         serde_json::from_str(&text).map_err(|error| ConfigError::Malformed { path, error })
     }
 
-    /// The fleet block of the front door called `own`, if there is one and it is usable.
-    fn fleet(&self, own: &str) -> Result<Option<Block>, ConfigError> {
+    /// The fleet section of the front door called `own`, if there is one and it is usable.
+    fn fleet(&self, own: &str) -> Result<Option<FleetSection>, ConfigError> {
         let Some(value) = &self.fleet else { return Ok(None) };
-        let raw: Raw = serde_json::from_value(value.clone())
-            .map_err(|error| ConfigError::Fleet(format!("fleet: {error}")))?;
-        let block = raw.check(own)?;
-        if self.limits.sockets < block.descriptors() + LEAST_SOCKETS {
-            let text = format!(
-                "fleet.accepted: {} and fleet.links: {} leave too little of {} sockets",
-                block.accepted, block.links, self.limits.sockets
-            );
-            return Err(ConfigError::Fleet(text));
+        let section = FleetSection::parse(value, own)?;
+        let sockets = self.limits.sockets;
+        if sockets < section.descriptors() + LEAST_SOCKETS {
+            let FleetSection { accepted, links, .. } = section;
+            return Err(SectionError::Descriptors { accepted, links, sockets }.into());
         }
-        Ok(Some(block))
+        Ok(Some(section))
     }
 
     /// The seed and the settings, if they and the limits are usable.
--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/hints.rs
@@ -1,10 +1,10 @@
 //! Membership on sockets: datagrams, comparisons over the way, and its timers.
 
-use super::block::Block;
 use super::frame::{Foreign, Kind};
 use super::outbox::Lane;
 use super::way::Way;
 use crate::net::clock::Clock;
+use crate::net::fleet_section::FleetSection;
 use cometspool_membership::{Change, Effect, Member, Membership, Times};
 use serde_json::json;
 use std::cell::RefCell;
@@ -44,7 +44,7 @@
 impl Hints {
     /// Begins to look for the others.
     pub fn new(
-        block: &Block,
+        section: &FleetSection,
         socket: UdpSocket,
         way: Rc<Way>,
         clock: Clock,
@@ -56,19 +56,19 @@
             // Later than any before under this name, if the clock is right; if not, the others tell.
             number: clock.now().max(1.0) as u64,
             life,
-            zone: block.zone.clone(),
+            zone: section.zone.clone(),
             version: super::frame::VERSION,
-            ..Member::unknown(&block.own, block.advertise)
+            ..Member::unknown(&section.own, section.advertise)
         };
-        let peers = block.peers.iter().map(|(name, dial)| Member::unknown(name, *dial)).collect();
-        let size = told.max(block.peers.len() as u32 + 1);
+        let peers = section.peers.iter().map(|(name, dial)| Member::unknown(name, *dial)).collect();
+        let size = told.max(section.peers.len() as u32 + 1);
         let membership = Membership::new(clock.now(), own, peers, Times::of(size), size, seed);
         Rc::new(Hints {
             membership: RefCell::new(membership),
             socket,
             way,
             clock,
-            own: block.own.clone(),
+            own: section.own.clone(),
             changed: Notify::new(),
             sized,
         })
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -1,14 +1,13 @@
-//! Front doors that act together. Off unless the configuration has a `fleet` block: then nothing here exists, no socket, no
+//! Front doors that act together. Off unless the configuration has a `fleet` section: then nothing here exists, no socket, no
 //! task, no call. `docs/FLEET.md` has the layers and what each promises.
 
-pub mod block;
 mod frame;
 mod hints;
 mod outbox;
 mod way;
 
 use super::clock::Clock;
-use block::Block;
+use super::fleet_section::FleetSection;
 use frame::Kind;
 use hints::{Hints, Start};
 use serde_json::{json, Value};
@@ -28,7 +27,7 @@
 
 /// The fleet as its front door knows it.
 pub struct Fleet {
-    block: Block,
+    section: FleetSection,
     way: Rc<Way>,
     hints: Option<Rc<Hints>>,
     load: Box<dyn Fn() -> u16>,
@@ -39,7 +38,7 @@
     /// each start; `load` tells how busy it is, in parts of a thousand; `sized` is told how many
     /// front doors there seem to be.
     pub async fn start(
-        block: Block,
+        section: FleetSection,
         clock: Clock,
         told: u32,
         seed: u64,
@@ -47,15 +46,16 @@
         sized: Box<dyn Fn(u32)>,
     ) -> Result<Rc<Fleet>, String> {
         keep_log();
-        let no_listener = |error| format!("fleet.listen: {}: {error}", block.listen);
-        let listener = TcpListener::bind(block.listen).await.map_err(no_listener)?;
-        let socket = UdpSocket::bind(block.listen).await.map_err(no_listener)?;
+        let no_listener = |error| format!("fleet.listen: {}: {error}", section.listen);
+        let listener = TcpListener::bind(section.listen).await.map_err(no_listener)?;
+        let socket = UdpSocket::bind(section.listen).await.map_err(no_listener)?;
         // A start draws its life from its seed and from when it was: no two starts share both.
         let life = seed.rotate_left(32) ^ clock.now().to_bits();
         let start = Start { told, life, seed };
-        let way = Way::new(block.clone(), life);
-        let hints = block.membership.then(|| Hints::new(&block, socket, way.clone(), clock, start, sized));
-        let fleet = Rc::new(Fleet { block, way: way.clone(), hints, load });
+        let way = Way::new(section.clone(), life);
+        let hints =
+            section.membership.then(|| Hints::new(&section, socket, way.clone(), clock, start, sized));
+        let fleet = Rc::new(Fleet { section, way: way.clone(), hints, load });
         let takes = fleet.clone();
         way.take(Rc::new(move |from, frame| {
             if let (Some(hints), Some(Kind::Compare)) = (&takes.hints, frame.kind) {
@@ -73,11 +73,11 @@
     /// Tells its counters from time to time, for as long as the front door runs.
     async fn tell(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(Duration::from_millis(self.block.tell_ms)).await;
+            tokio::time::sleep(Duration::from_millis(self.section.tell_ms)).await;
             if let Some(hints) = &self.hints {
                 hints.tell_load((self.load)());
             }
-            tracing::info!(what = "fleet", name = self.block.own.as_str(), status = %self.status());
+            tracing::info!(what = "fleet", name = self.section.own.as_str(), status = %self.status());
         }
     }
 
--- a/src/net/fleet/peers.rs
+++ b/src/net/fleet/peers.rs
@@ -1,8 +1,8 @@
 //! The way against peers that a test plays by hand, on loopback.
 
-use super::super::block::Raw;
 use super::super::frame::VERSION;
 use super::*;
+use crate::net::fleet_section::FleetSection;
 use serde_json::json;
 use std::future::Future;
 use tokio::io::AsyncReadExt;
@@ -23,8 +23,8 @@
         "name": "f", "listen": at.to_string(), "peers": peers, "links": 2, "accepted": 3, "beat_ms": 50,
         "queue_bytes": 600_000, "hello_ms": 500,
     });
-    let block = serde_json::from_value::<Raw>(raw).expect("a block").check(own).expect("a sound block");
-    let way = Way::new(block, u64::from(own.as_bytes()[0]));
+    let section = FleetSection::parse(&raw, own).expect("a sound section");
+    let way = Way::new(section, u64::from(own.as_bytes()[0]));
     let came: Rc<RefCell<Vec<(String, usize)>>> = Rc::default();
     let taken = came.clone();
     way.take(Rc::new(move |from, frame| taken.borrow_mut().push((from.to_owned(), frame.body().len()))));
@@ -115,7 +115,7 @@
     });
 }
 
-/// Guards the count of links: no more are dialled or accepted than the block allows, the one least lately needed leaves, and
+/// Guards the count of links: no more are dialled or accepted than the section allows, the one least lately needed leaves, and
 /// two that dial each other keep one.
 #[test]
 fn links_stay_within_their_bounds_and_two_keep_one() {
--- a/src/net/fleet/way.rs
+++ b/src/net/fleet/way.rs
@@ -3,9 +3,9 @@
 //! A connection carries both ways, whoever dialled. It begins with a greeting each way, and ends when no whole frame came
 //! for four beats: a peer that is silent, dribbles or does not read costs no more than its own connection and its outbox.
 
-use super::block::Block;
 use super::frame::{body, Broken, Foreign, Frame, Kind, Seal, HEAD};
 use super::outbox::{Full, Lane, Outbox};
+use crate::net::fleet_section::FleetSection;
 use crate::net::room::NO_DESCRIPTOR;
 use backon::{BackoffBuilder, ExponentialBuilder};
 use cometspool_membership::LONGEST_NAME;
@@ -135,7 +135,7 @@
 
 /// The way.
 pub struct Way {
-    block: Block,
+    section: FleetSection,
     /// What frames of this fleet carry.
     pub seal: Seal,
     life: u64,
@@ -157,10 +157,10 @@
 
 impl Way {
     /// The way of a front door whose present life is `life`.
-    pub fn new(block: Block, life: u64) -> Rc<Way> {
-        let seal = Seal::new(&block.fleet, block.generation, block.frame_bytes);
+    pub fn new(section: FleetSection, life: u64) -> Rc<Way> {
+        let seal = Seal::new(&section.fleet, section.generation, section.frame_bytes);
         Rc::new(Way {
-            block,
+            section,
             seal,
             life,
             peers: RefCell::default(),
@@ -187,7 +187,7 @@
 
     /// Where to reach somebody: the told address goes before what is said of it.
     pub fn address(&self, name: &str, said: Option<SocketAddr>) -> Option<SocketAddr> {
-        self.block.peers.get(name).copied().or(said)
+        self.section.peers.get(name).copied().or(said)
     }
 
     /// Sends a frame to a peer: on the link that is there, or on one that is dialled for it, at the told address or else at
@@ -215,7 +215,7 @@
         lane: Lane,
         frame: Bytes,
     ) -> Result<(), Full> {
-        if to == self.block.own {
+        if to == self.section.own {
             return Err(Full);
         }
         let peer = self.peer(to).ok_or(Full)?;
@@ -254,7 +254,7 @@
         let name: Rc<str> = name.into();
         let peer = Rc::new(Peer {
             name: name.clone(),
-            outbox: RefCell::new(Outbox::new(self.block.queue_bytes)),
+            outbox: RefCell::new(Outbox::new(self.section.queue_bytes)),
             wake: Notify::new(),
             link: RefCell::default(),
             dialling: Cell::new(false),
@@ -278,7 +278,7 @@
         let ours = |peer: &&Rc<Peer>| {
             peer.dialling.get() || peer.link.borrow().as_ref().is_some_and(|link| link.dialled)
         };
-        if peers.values().filter(ours).count() < self.block.links {
+        if peers.values().filter(ours).count() < self.section.links {
             return true;
         }
         let spare = peers.values().filter(|peer| {
@@ -302,13 +302,13 @@
         let mut pause = pauses();
         loop {
             self.counts.borrow_mut().dials += 1;
-            let hello = timeout(Duration::from_millis(self.block.hello_ms), self.greet(&peer, at)).await;
+            let hello = timeout(Duration::from_millis(self.section.hello_ms), self.greet(&peer, at)).await;
             match hello {
                 Ok(Ok((reader, writer, life))) => {
                     pause = pauses();
                     // Two that dialled each other keep the link of the one whose name comes first.
                     let theirs = peer.link.borrow().as_ref().is_some_and(|link| link.life == life);
-                    if !theirs || *self.block.own < *peer.name {
+                    if !theirs || *self.section.own < *peer.name {
                         self.run(&peer, reader, writer, true, life).await;
                     } else {
                         tokio::task::spawn_local(self.clone().drain(peer.clone(), reader, writer));
@@ -352,7 +352,7 @@
     }
 
     async fn say_hello(&self, writer: &mut OwnedWriteHalf, to: &str) -> Result<(), Broken> {
-        let hello = Hello { name: self.block.own.clone(), to: to.to_owned(), life: self.life };
+        let hello = Hello { name: self.section.own.clone(), to: to.to_owned(), life: self.life };
         let frame = self.seal.frame(Kind::Hello, &body(&hello)).ok_or(Foreign::Size(0))?;
         Ok(writer.write_all(&frame).await?)
     }
@@ -361,7 +361,7 @@
         let frame = reader.next().await.ok_or(io::Error::from(io::ErrorKind::UnexpectedEof))??;
         let hello: Option<Hello> = (frame.kind == Some(Kind::Hello)).then(|| frame.read()).flatten();
         let hello = hello.ok_or(Foreign::Mark)?;
-        if hello.to != self.block.own || hello.name == self.block.own {
+        if hello.to != self.section.own || hello.name == self.section.own {
             self.counts.borrow_mut().wrong_name += 1;
             return Err(io::Error::from(io::ErrorKind::AddrNotAvailable).into());
         }
@@ -382,7 +382,7 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.accepted.get() < self.block.accepted => {
+                Ok((stream, _)) if self.accepted.get() < self.section.accepted => {
                     let way = self.clone();
                     self.accepted.set(self.accepted.get() + 1);
                     tokio::task::spawn_local(async move {
@@ -406,7 +406,7 @@
             self.say_hello(&mut writer, &hello.name).await?;
             Ok::<_, Broken>(hello)
         };
-        let hello = match timeout(Duration::from_millis(self.block.hello_ms), greeting).await {
+        let hello = match timeout(Duration::from_millis(self.section.hello_ms), greeting).await {
             Ok(Ok(hello)) => hello,
             Ok(Err(Broken::Foreign(why))) => return self.counts.borrow_mut().foreign(why),
             Ok(Err(Broken::Io(_))) => return,
@@ -416,7 +416,7 @@
             return self.counts.borrow_mut().crowded += 1;
         };
         let ours = peer.link.borrow().as_ref().is_some_and(|link| link.dialled && link.life == hello.life);
-        if ours && *self.block.own < *peer.name {
+        if ours && *self.section.own < *peer.name {
             return self.clone().drain(peer, reader, writer).await;
         }
         self.run(&peer, reader, writer, false, hello.life).await;
@@ -478,7 +478,7 @@
     }
 
     fn silence(&self) -> Duration {
-        Duration::from_millis(self.block.beat_ms) * SILENT
+        Duration::from_millis(self.section.beat_ms) * SILENT
     }
 
     async fn read(&self, peer: &Peer, reader: &mut Reader) -> End {
@@ -507,7 +507,7 @@
     }
 
     async fn write(&self, peer: &Peer, writer: &mut OwnedWriteHalf, dialled: bool, end: &Ending) -> End {
-        let beat = Duration::from_millis(self.block.beat_ms);
+        let beat = Duration::from_millis(self.section.beat_ms);
         let Some(sign) = self.seal.frame(Kind::Beat, &[]) else { return End::Closed };
         loop {
             if end.asked.get() {
@@ -517,7 +517,7 @@
             let frame = match next {
                 Some(frame) => frame,
                 None => {
-                    let idle = peer.used.get().elapsed() >= Duration::from_millis(self.block.keep_ms);
+                    let idle = peer.used.get().elapsed() >= Duration::from_millis(self.section.keep_ms);
                     if dialled && idle {
                         return End::Idle;
                     }
--- a/src/net/fleet/block.rs
+++ b/src/net/fleet_section.rs
@@ -1,11 +1,46 @@
-//! The `fleet` block of the configuration. Without it nothing here is used.
+//! The `fleet` section of the configuration: as it is written, and as it is once checked. Without it the fleet layer is off.
 
-use crate::net::config::ConfigError;
 use cometspool_membership::{LONGEST_NAME, LONGEST_ZONE};
 use serde::Deserialize;
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Descriptors that the fleet layer holds besides its links: both listeners, and one dial in passing.
+const OTHER_DESCRIPTORS: usize = 3;
+
+/// Why a `fleet` section cannot be used; each is one plain line that names the key.
+#[derive(Debug, thiserror::Error)]
+pub enum SectionError {
+    /// It does not have the keys and types that it should.
+    #[error("fleet: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// A value is out of bounds.
+    #[error("fleet.{key}: {fault}")]
+    Value {
+        /// The key, below `fleet`.
+        key: String,
+        /// What is wrong with its value.
+        fault: String,
+    },
+    /// It leaves too few descriptors for clients and backends.
+    #[error("fleet.accepted: {accepted} and fleet.links: {links} leave too little of {sockets} sockets")]
+    Descriptors {
+        /// Connections that are accepted at most.
+        accepted: usize,
+        /// Connections that are dialled at most.
+        links: usize,
+        /// Descriptors of the process.
+        sockets: usize,
+    },
+}
+
+impl SectionError {
+    fn value(key: &str, fault: String) -> SectionError {
+        SectionError::Value { key: key.to_owned(), fault }
+    }
+}
+
 /// Another front door, as the configuration tells of it.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -26,10 +61,10 @@
     pub trials: bool,
 }
 
-/// The block as it stands.
+/// The section as it is written.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Raw {
+struct RawSection {
     name: String,
     #[serde(default)]
     generation: u32,
@@ -90,7 +125,7 @@
 
 /// What a front door is told of its fleet.
 #[derive(Clone, Debug)]
-pub struct Block {
+pub struct FleetSection {
     /// Its own name among the others.
     pub own: String,
     /// The fleet's name: frames of another fleet are foreign.
@@ -127,52 +162,34 @@
     pub tell_ms: u64,
 }
 
-impl Raw {
-    /// The block of the front door called `own`, if it is usable; an error names the key.
-    pub fn check(self, own: &str) -> Result<Block, ConfigError> {
-        let wrong = |key: &str, what: String| ConfigError::Fleet(format!("fleet.{key}: {what}"));
-        let address = |key: &str, text: &str| {
-            text.parse::<SocketAddr>()
-                .ok()
-                .filter(|address| address.port() != 0)
-                .ok_or_else(|| wrong(key, format!("{text:?} is not an address with a port")))
-        };
-        let name = |key: &str, text: &str, longest: usize| match text.len() {
-            length if length <= longest => Ok(()),
-            length => Err(wrong(key, format!("{length} bytes where {longest} are the most"))),
-        };
-        name("name", &self.name, LONGEST_NAME)?;
-        name("zone", &self.zone, LONGEST_ZONE)?;
+impl FleetSection {
+    /// Reads and checks the section of the front door called `own`.
+    pub fn parse(value: &Value, own: &str) -> Result<FleetSection, SectionError> {
+        let raw: RawSection = serde_json::from_value(value.clone())?;
+        raw.check(own)
+    }
+
+    /// Descriptors that the fleet layer may hold: its links, both listeners, and one dial in passing.
+    pub fn descriptors(&self) -> usize {
+        self.links + self.accepted + OTHER_DESCRIPTORS
+    }
+}
+
+impl RawSection {
+    fn check(self, own: &str) -> Result<FleetSection, SectionError> {
+        check_length("name", &self.name, LONGEST_NAME)?;
+        check_length("zone", &self.zone, LONGEST_ZONE)?;
         if self.name.is_empty() || own.is_empty() || own.len() > LONGEST_NAME {
-            return Err(wrong(
-                "name",
-                format!("the fleet and its front doors need names of 1 to {LONGEST_NAME} bytes"),
-            ));
+            let fault = format!("the fleet and its front doors need names of 1 to {LONGEST_NAME} bytes");
+            return Err(SectionError::value("name", fault));
         }
-        let listen = address("listen", &self.listen)?;
-        let advertise = self.advertise.as_deref().map_or(Ok(listen), |text| address("advertise", text))?;
-        let mut peers = BTreeMap::new();
-        for (i, peer) in self.peers.into_iter().enumerate() {
-            let key = format!("peers[{i}]");
-            if peer.name.is_empty() {
-                return Err(wrong(&format!("{key}.name"), "it is empty".to_owned()));
-            }
-            name(&format!("{key}.name"), &peer.name, LONGEST_NAME)?;
-            let dial = address(&format!("{key}.dial"), &peer.dial)?;
-            // One list may serve all front doors, so its own entry is passed over; a repeat says nothing new.
-            if peer.name != own && peers.insert(peer.name.clone(), dial).is_some_and(|before| before != dial)
-            {
-                return Err(wrong(
-                    &format!("{key}.name"),
-                    format!("{:?} stands here with two addresses", peer.name),
-                ));
-            }
-        }
-        let within = |key: &str, value: u64, least: u64, most: u64| match (least..=most).contains(&value) {
-            true => Ok(value),
-            false => Err(wrong(key, format!("{value} is not between {least} and {most}"))),
+        let listen = parse_address("listen", &self.listen)?;
+        let advertise = match &self.advertise {
+            Some(text) => parse_address("advertise", text)?,
+            None => listen,
         };
-        Ok(Block {
+        let peers = check_peers(self.peers, own)?;
+        Ok(FleetSection {
             own: own.to_owned(),
             fleet: self.name,
             generation: self.generation,
@@ -194,9 +211,44 @@
     }
 }
 
-impl Block {
-    /// Descriptors that the fleet layer may hold: its links, both listeners, and one dial in passing.
-    pub fn descriptors(&self) -> usize {
-        self.links + self.accepted + 3
+/// The other front doors by name. One list may serve all, so the entry called `own` is passed over; a repeat adds nothing.
+fn check_peers(peers: Vec<Peer>, own: &str) -> Result<BTreeMap<String, SocketAddr>, SectionError> {
+    let mut addresses = BTreeMap::new();
+    for (index, peer) in peers.into_iter().enumerate() {
+        let name_key = format!("peers[{index}].name");
+        if peer.name.is_empty() {
+            return Err(SectionError::value(&name_key, "it is empty".to_owned()));
+        }
+        check_length(&name_key, &peer.name, LONGEST_NAME)?;
+        let address = parse_address(&format!("peers[{index}].dial"), &peer.dial)?;
+        if peer.name == own {
+            continue;
+        }
+        let before = addresses.insert(peer.name.clone(), address);
+        if before.is_some_and(|before| before != address) {
+            let fault = format!("{:?} stands here with two addresses", peer.name);
+            return Err(SectionError::value(&name_key, fault));
+        }
+    }
+    Ok(addresses)
+}
+
+fn check_length(key: &str, text: &str, longest: usize) -> Result<(), SectionError> {
+    let length = text.len();
+    if length > longest {
+        return Err(SectionError::value(key, format!("{length} bytes where {longest} are the most")));
+    }
+    Ok(())
+}
+
+fn parse_address(key: &str, text: &str) -> Result<SocketAddr, SectionError> {
+    let address = text.parse::<SocketAddr>().ok().filter(|address| address.port() != 0);
+    address.ok_or_else(|| SectionError::value(key, format!("{text:?} is not an address with a port")))
+}
+
+fn within(key: &str, value: u64, least: u64, most: u64) -> Result<u64, SectionError> {
+    if !(least..=most).contains(&value) {
+        return Err(SectionError::value(key, format!("{value} is not between {least} and {most}")));
     }
+    Ok(value)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod backoff;
 pub mod budget;
 mod clock;
+mod fleet_section;
 mod links;
 mod members;
 mod site;
@@ -74,10 +75,10 @@
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
     let fleet = match config.fleet {
-        Some(block) => {
+        Some(section) => {
             let (desk, most) = (door.clone(), room::client_budget(sockets).max(1));
             let load = move || (desk.unanswered() * 1000 / most).min(1000) as u16;
-            let (pace, paced) = (block.pace, door.clone());
+            let (pace, paced) = (section.pace, door.clone());
             let sized = move |doors: u32| {
                 if pace.dials {
                     paced.fleet_of(doors);
@@ -90,7 +91,7 @@
                 }
             };
             let (clock, told) = (door.site.clock, door.site.settings.gateways);
-            Some(Fleet::start(block, clock, told, config.seed, Box::new(load), Box::new(sized)).await?)
+            Some(Fleet::start(section, clock, told, config.seed, Box::new(load), Box::new(sized)).await?)
         }
         None => None,
     };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -175,9 +175,9 @@
     rig.agree(&[0, 1], "two again");
 }
 
-/// Guards a running fleet against a bad block at SIGHUP: it is told with its key, and the old one goes on.
+/// Guards a running fleet against a bad section at SIGHUP: it is told with its key, and the old one goes on.
 #[test]
-fn a_bad_block_at_sighup_changes_nothing() {
+fn a_bad_section_at_sighup_changes_nothing() {
     let mut rig = Rig::start(&Plan { processes: 2, ..Plan::default() }).expect("a rig");
     rig.agree(&[0, 1], "two that know each other");
     rig.processes[0].reload(|config| config["fleet"]["links"] = 0.into()).expect("a file");
@@ -194,10 +194,10 @@
     assert_eq!(check::no_crash(&rig.history.events()), []);
 }
 
-/// Guards the start: what is wrong in the block is told with its key, on one line, with exit code 2. A clock that is off is a
+/// Guards the start: what is wrong in the section is told with its key, on one line, with exit code 2. A clock that is off is a
 /// test's alone.
 #[test]
-fn a_bad_fleet_block_names_its_key() {
+fn a_bad_fleet_section_names_its_key() {
     use cometspool_rig::hand::{settings, spawn};
     use serde_json::json;
     let good = json!({"name": "f", "listen": "127.0.0.1:9", "peers": []});
