Call the parts of a fleet frame by their usual names

Need: seal, mark, head, foreign, broken and beat needed explaining.

Change: `Seal` is `FrameCodec` with `encode` and `decode_datagram`, `Foreign` is `FrameError`, `Broken` is `ConnectionError`, `Kind` is `FrameKind` with `Heartbeat`, the head is the header and its offsets are named constants; the lanes of the outbox are consensus, replication and best effort. Bytes on the wire and the counters' keys stay.

--- a/src/net/fleet/frame.rs
+++ b/src/net/fleet/frame.rs
@@ -1,17 +1,17 @@
 //! Frames: what passes between front doors, on connections and in datagrams.
 //!
-//! A frame is a head of 24 bytes and a body, in postcard. The head is checked before a byte of the body is read:
+//! A frame is a header of 24 bytes and a body, in postcard. The header is checked before a byte of the body is read:
 //!
 //! | bytes | what |
 //! | --- | --- |
-//! | 0..2 | `CS` |
+//! | 0..2 | magic bytes, `CS` |
 //! | 2..4 | the sender's version of the messages |
 //! | 4..6 | the kind |
 //! | 6..8 | nought; readers pass over it |
 //! | 8..12 | CRC-32C of the fleet's name |
 //! | 12..16 | the generation |
 //! | 16..20 | the body's length |
-//! | 20..24 | CRC-32C of the head before it and the body |
+//! | 20..24 | CRC-32C of the header before it and the body |
 //!
 //! Versions: one reads its own, the next, and the one before. Bodies only ever grow at their end. A newer sender's further
 //! fields are passed over; those that an older sender does not know read as nought, empty or none, which is what postcard
@@ -25,37 +25,44 @@
 
 /// The version that is spoken.
 pub const VERSION: u16 = 1;
-/// Bytes of a head.
-pub const HEAD: usize = 24;
+/// Bytes of a header.
+pub const HEADER_LENGTH: usize = 24;
+/// Where in the header the version, the kind and the checksum stand.
+const VERSION_AT: usize = 2;
+const KIND_AT: usize = 4;
+const CHECKSUM_AT: usize = 20;
 /// Zero bytes that stand in for the fields an older sender does not know.
-const ABSENT: [u8; 64] = [0; 64];
+const ABSENT_FIELDS: [u8; 64] = [0; 64];
 
 /// What a frame is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u16)]
-pub enum Kind {
+pub enum FrameKind {
     /// Who somebody is: the first frame each way.
     Hello = 1,
-    /// A sign of life.
-    Beat = 2,
+    /// A sign of life on a connection without other traffic.
+    Heartbeat = 2,
     /// Membership's datagrams.
     Gossip = 16,
     /// Membership's comparisons.
     Compare = 17,
 }
 
-impl Kind {
-    fn of(number: u16) -> Option<Kind> {
-        [Kind::Hello, Kind::Beat, Kind::Gossip, Kind::Compare].into_iter().find(|kind| *kind as u16 == number)
+impl FrameKind {
+    /// The kind with this number, if it is known here.
+    fn from_wire(number: u16) -> Option<FrameKind> {
+        [FrameKind::Hello, FrameKind::Heartbeat, FrameKind::Gossip, FrameKind::Compare]
+            .into_iter()
+            .find(|kind| *kind as u16 == number)
     }
 }
 
 /// Why bytes are no frame for this front door.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Foreign {
-    /// It does not begin as one.
+pub enum FrameError {
+    /// It does not begin with the magic bytes.
     #[error("no frame")]
-    Mark,
+    Magic,
     /// A version that is not read here.
     #[error("version {0}")]
     Version(u16),
@@ -73,12 +80,12 @@
     Checksum,
 }
 
-/// What a frame must carry to be ours.
+/// Encodes the frames of one fleet and generation, and decodes those that carry the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Seal {
+pub struct FrameCodec {
     fleet: u32,
     generation: u32,
-    greatest: usize,
+    max_body: usize,
 }
 
 /// A frame that was found whole.
@@ -87,24 +94,25 @@
     /// The sender's version.
     pub version: u16,
     /// What it is about; `None` if nobody here knows.
-    pub kind: Option<Kind>,
+    pub kind: Option<FrameKind>,
     body: Bytes,
 }
 
-impl Seal {
-    /// The seal of a fleet, for bodies up to `greatest` bytes.
-    pub fn new(fleet: &str, generation: u32, greatest: usize) -> Seal {
-        Seal { fleet: crc32c::crc32c(fleet.as_bytes()), generation, greatest }
+impl FrameCodec {
+    /// The codec of a fleet, for bodies up to `max_body` bytes.
+    pub fn new(fleet: &str, generation: u32, max_body: usize) -> FrameCodec {
+        FrameCodec { fleet: crc32c::crc32c(fleet.as_bytes()), generation, max_body }
     }
 
     /// A frame round a body; `None` if that is too long.
-    pub fn frame(&self, kind: Kind, body: &[u8]) -> Option<Bytes> {
-        self.sealed(VERSION, kind as u16, body)
+    pub fn encode(&self, kind: FrameKind, body: &[u8]) -> Option<Bytes> {
+        self.encode_as(VERSION, kind as u16, body)
     }
 
-    pub(super) fn sealed(&self, version: u16, kind: u16, body: &[u8]) -> Option<Bytes> {
-        let length = u32::try_from(body.len()).ok().filter(|_| body.len() <= self.greatest)?;
-        let mut bytes = BytesMut::with_capacity(HEAD + body.len());
+    /// As [`FrameCodec::encode`], for any version and kind.
+    pub(super) fn encode_as(&self, version: u16, kind: u16, body: &[u8]) -> Option<Bytes> {
+        let length = u32::try_from(body.len()).ok().filter(|_| body.len() <= self.max_body)?;
+        let mut bytes = BytesMut::with_capacity(HEADER_LENGTH + body.len());
         bytes.put_slice(b"CS");
         bytes.put_u16(version);
         bytes.put_u16(kind);
@@ -118,49 +126,56 @@
         Some(bytes.freeze())
     }
 
-    /// Checks a head; the length of the body that follows.
-    fn head(&self, mut head: &[u8]) -> Result<usize, Foreign> {
-        if head.get(..2) != Some(b"CS") {
-            return Err(Foreign::Mark);
+    /// Checks a header; the length of the body that follows.
+    fn check_header(&self, mut header: &[u8]) -> Result<usize, FrameError> {
+        if header.get(..2) != Some(b"CS") {
+            return Err(FrameError::Magic);
         }
-        head.advance(2);
-        let version = head.get_u16();
+        header.advance(2);
+        let version = header.get_u16();
         if !(VERSION.saturating_sub(1)..=VERSION + 1).contains(&version) {
-            return Err(Foreign::Version(version));
+            return Err(FrameError::Version(version));
         }
-        head.advance(4);
-        if head.get_u32() != self.fleet {
-            return Err(Foreign::Fleet);
+        header.advance(4);
+        if header.get_u32() != self.fleet {
+            return Err(FrameError::Fleet);
         }
-        let generation = head.get_u32();
+        let generation = header.get_u32();
         if generation != self.generation {
-            return Err(Foreign::Generation(generation));
+            return Err(FrameError::Generation(generation));
         }
-        let length = head.get_u32();
-        match usize::try_from(length).ok().filter(|length| *length <= self.greatest) {
+        let length = header.get_u32();
+        match usize::try_from(length).ok().filter(|length| *length <= self.max_body) {
             Some(length) => Ok(length),
-            None => Err(Foreign::Size(length)),
+            None => Err(FrameError::Size(length)),
         }
     }
 
-    fn whole(&self, bytes: Bytes) -> Result<Frame, Foreign> {
-        let sum = u32::from_be_bytes([bytes[20], bytes[21], bytes[22], bytes[23]]);
-        if crc32c::crc32c_append(crc32c::crc32c(&bytes[..20]), &bytes[HEAD..]) != sum {
-            return Err(Foreign::Checksum);
+    /// Compares the checksum of a frame whose header was checked.
+    fn verify(&self, bytes: Bytes) -> Result<Frame, FrameError> {
+        let mut stored = &bytes[CHECKSUM_AT..];
+        let header = crc32c::crc32c(&bytes[..CHECKSUM_AT]);
+        if crc32c::crc32c_append(header, &bytes[HEADER_LENGTH..]) != stored.get_u32() {
+            return Err(FrameError::Checksum);
         }
-        let number = |at: usize| u16::from_be_bytes([bytes[at], bytes[at + 1]]);
-        Ok(Frame { version: number(2), kind: Kind::of(number(4)), body: bytes.slice(HEAD..) })
+        let mut version = &bytes[VERSION_AT..];
+        let mut kind = &bytes[KIND_AT..];
+        Ok(Frame {
+            version: version.get_u16(),
+            kind: FrameKind::from_wire(kind.get_u16()),
+            body: bytes.slice(HEADER_LENGTH..),
+        })
     }
 
     /// The frame that a datagram holds.
-    pub fn datagram(&self, bytes: &[u8]) -> Result<Frame, Foreign> {
-        if bytes.len() < HEAD {
-            return Err(Foreign::Mark);
+    pub fn decode_datagram(&self, bytes: &[u8]) -> Result<Frame, FrameError> {
+        if bytes.len() < HEADER_LENGTH {
+            return Err(FrameError::Magic);
         }
-        if self.head(&bytes[..HEAD])? != bytes.len() - HEAD {
-            return Err(Foreign::Mark);
+        if self.check_header(&bytes[..HEADER_LENGTH])? != bytes.len() - HEADER_LENGTH {
+            return Err(FrameError::Magic);
         }
-        self.whole(Bytes::copy_from_slice(bytes))
+        self.verify(Bytes::copy_from_slice(bytes))
     }
 }
 
@@ -171,9 +186,9 @@
     }
 
     /// The body as a value, by the rule on versions; `None` if it is none.
-    pub fn read<T: DeserializeOwned>(&self) -> Option<T> {
+    pub fn decode_body<T: DeserializeOwned>(&self) -> Option<T> {
         if self.version < VERSION {
-            let padded = [&self.body[..], &ABSENT].concat();
+            let padded = [&self.body[..], &ABSENT_FIELDS].concat();
             return postcard::take_from_bytes(&padded).ok().map(|(value, _)| value);
         }
         let (value, rest) = postcard::take_from_bytes(&self.body).ok()?;
@@ -182,36 +197,36 @@
 }
 
 /// A value as a body.
-pub fn body(value: &impl Serialize) -> Vec<u8> {
+pub fn encode_body(value: &impl Serialize) -> Vec<u8> {
     // A plain value in memory can always be written.
     postcard::to_stdvec(value).unwrap_or_default()
 }
 
 /// Why a connection carries no more frames.
 #[derive(Debug, thiserror::Error)]
-pub enum Broken {
+pub enum ConnectionError {
     /// What came is no frame.
     #[error("{0}")]
-    Foreign(#[from] Foreign),
+    Frame(#[from] FrameError),
     /// The connection broke.
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
 
-impl Decoder for Seal {
+impl Decoder for FrameCodec {
     type Item = Frame;
-    type Error = Broken;
+    type Error = ConnectionError;
 
-    fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<Frame>, Broken> {
-        if bytes.len() < HEAD {
+    fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<Frame>, ConnectionError> {
+        if bytes.len() < HEADER_LENGTH {
             return Ok(None);
         }
-        let length = self.head(&bytes[..HEAD])?;
-        if bytes.len() < HEAD + length {
-            bytes.reserve(HEAD + length - bytes.len());
+        let length = self.check_header(&bytes[..HEADER_LENGTH])?;
+        if bytes.len() < HEADER_LENGTH + length {
+            bytes.reserve(HEADER_LENGTH + length - bytes.len());
             return Ok(None);
         }
-        Ok(Some(self.whole(bytes.split_to(HEAD + length).freeze())?))
+        Ok(Some(self.verify(bytes.split_to(HEADER_LENGTH + length).freeze())?))
     }
 }
 
--- a/src/net/fleet/frame/tests.rs
+++ b/src/net/fleet/frame/tests.rs
@@ -4,39 +4,39 @@
 use proptest::prelude::*;
 use serde::Deserialize;
 
-fn seal() -> Seal {
-    Seal::new("fleet", 7, 1000)
+fn codec() -> FrameCodec {
+    FrameCodec::new("fleet", 7, 1000)
 }
 
-fn decoded(bytes: &[u8]) -> Result<Option<Frame>, Foreign> {
-    seal().decode(&mut BytesMut::from(bytes)).map_err(|broken| match broken {
-        Broken::Foreign(foreign) => foreign,
-        Broken::Io(error) => panic!("{error}"),
+fn decoded(bytes: &[u8]) -> Result<Option<Frame>, FrameError> {
+    codec().decode(&mut BytesMut::from(bytes)).map_err(|broken| match broken {
+        ConnectionError::Frame(foreign) => foreign,
+        ConnectionError::Io(error) => panic!("{error}"),
     })
 }
 
-/// Guards the order of the checks: each is made on the head alone, before a body is there.
+/// Guards the order of the checks: each is made on the header alone, before a body is there.
 #[test]
-fn what_is_not_ours_is_refused_by_its_head_alone() {
-    let other = |seal: Seal, body: usize| {
-        seal.frame(Kind::Compare, &vec![0; body]).expect("it fits")[..HEAD].to_vec()
+fn what_is_not_ours_is_refused_by_its_header_alone() {
+    let other = |codec: FrameCodec, body: usize| {
+        codec.encode(FrameKind::Compare, &vec![0; body]).expect("it fits")[..HEADER_LENGTH].to_vec()
     };
-    let newer = seal().sealed(VERSION + 2, 1, &[1; 9]).expect("it fits");
+    let newer = codec().encode_as(VERSION + 2, 1, &[1; 9]).expect("it fits");
     let cases = [
-        (b"GET / HTTP/1.1\r\nHost: somebody\r\n".to_vec(), Foreign::Mark),
-        (newer[..HEAD].to_vec(), Foreign::Version(VERSION + 2)),
-        (other(Seal::new("another", 7, 1000), 9), Foreign::Fleet),
-        (other(Seal::new("fleet", 6, 1000), 9), Foreign::Generation(6)),
-        (other(Seal::new("fleet", 7, 2000), 1001), Foreign::Size(1001)),
+        (b"GET / HTTP/1.1\r\nHost: somebody\r\n".to_vec(), FrameError::Magic),
+        (newer[..HEADER_LENGTH].to_vec(), FrameError::Version(VERSION + 2)),
+        (other(FrameCodec::new("another", 7, 1000), 9), FrameError::Fleet),
+        (other(FrameCodec::new("fleet", 6, 1000), 9), FrameError::Generation(6)),
+        (other(FrameCodec::new("fleet", 7, 2000), 1001), FrameError::Size(1001)),
     ];
     for (bytes, expected) in cases {
         assert_eq!(decoded(&bytes), Err(expected));
     }
-    let mut damaged = seal().frame(Kind::Beat, b"body").expect("it fits").to_vec();
+    let mut damaged = codec().encode(FrameKind::Heartbeat, b"body").expect("it fits").to_vec();
     assert_eq!(decoded(&damaged).expect("a frame").expect("a whole one").body(), b"body");
-    damaged[HEAD] ^= 1;
-    assert_eq!(decoded(&damaged), Err(Foreign::Checksum));
-    assert_eq!(seal().frame(Kind::Beat, &[0; 1001]), None);
+    damaged[HEADER_LENGTH] ^= 1;
+    assert_eq!(decoded(&damaged), Err(FrameError::Checksum));
+    assert_eq!(codec().encode(FrameKind::Heartbeat, &[0; 1001]), None);
 }
 
 /// Guards two versions side by side, by the rule that the module's page states.
@@ -49,20 +49,20 @@
     #[derive(Debug, PartialEq, Serialize, Deserialize)]
     struct Next(String, u32, Option<String>, u64, Vec<u8>);
     let passed = |version: u16, body: Vec<u8>| {
-        let bytes = seal().sealed(version, 1, &body).expect("it fits");
-        decoded(&bytes).expect("ours").expect("whole").read::<Now>()
+        let bytes = codec().encode_as(version, 1, &body).expect("it fits");
+        decoded(&bytes).expect("ours").expect("whole").decode_body::<Now>()
     };
     let now = |text: Option<&str>, number| Some(Now("a".into(), 300, text.map(str::to_owned), number));
-    assert_eq!(passed(VERSION, body(&Now("a".into(), 300, Some("b".into()), 5))), now(Some("b"), 5));
-    assert_eq!(passed(VERSION - 1, body(&Before("a".into(), 300))), now(None, 0));
+    assert_eq!(passed(VERSION, encode_body(&Now("a".into(), 300, Some("b".into()), 5))), now(Some("b"), 5));
+    assert_eq!(passed(VERSION - 1, encode_body(&Before("a".into(), 300))), now(None, 0));
     assert_eq!(
-        passed(VERSION + 1, body(&Next("a".into(), 300, Some("b".into()), 5, vec![9; 70]))),
+        passed(VERSION + 1, encode_body(&Next("a".into(), 300, Some("b".into()), 5, vec![9; 70]))),
         now(Some("b"), 5)
     );
     // Within a version nothing may be over or missing.
-    assert_eq!(passed(VERSION, body(&Next("a".into(), 300, None, 5, vec![9; 70]))), None);
-    assert_eq!(passed(VERSION, body(&Before("a".into(), 300))), None);
-    let unknown = seal().sealed(VERSION + 1, 999, b"?").expect("it fits");
+    assert_eq!(passed(VERSION, encode_body(&Next("a".into(), 300, None, 5, vec![9; 70]))), None);
+    assert_eq!(passed(VERSION, encode_body(&Before("a".into(), 300))), None);
+    let unknown = codec().encode_as(VERSION + 1, 999, b"?").expect("it fits");
     assert_eq!(decoded(&unknown).expect("ours").expect("whole").kind, None);
 }
 
@@ -72,15 +72,15 @@
     fn arbitrary_bytes_end_in_a_frame_or_a_reason(bytes in prop::collection::vec(any::<u8>(), 0..200), good in any::<bool>()) {
         let mut stream = BytesMut::new();
         if good {
-            stream.extend_from_slice(&seal().frame(Kind::Beat, &bytes).expect("it fits"));
-            let frame = seal().decode(&mut stream).expect("ours").expect("whole");
+            stream.extend_from_slice(&codec().encode(FrameKind::Heartbeat, &bytes).expect("it fits"));
+            let frame = codec().decode(&mut stream).expect("ours").expect("whole");
             prop_assert_eq!(frame.body(), &bytes[..]);
         } else {
             stream.extend_from_slice(&bytes);
-            if let Ok(found) = seal().decode(&mut stream) {
-                prop_assert!(found.is_none() && bytes.len() < HEAD);
+            if let Ok(found) = codec().decode(&mut stream) {
+                prop_assert!(found.is_none() && bytes.len() < HEADER_LENGTH);
             }
-            let _ = seal().datagram(&bytes);
+            let _ = codec().decode_datagram(&bytes);
         }
     }
 }
--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/hints.rs
@@ -1,6 +1,6 @@
 //! Membership on sockets: datagrams, comparisons over the way, and its timers.
 
-use super::frame::{Foreign, Kind};
+use super::frame::{FrameError, FrameKind};
 use super::outbox::Lane;
 use super::way::Way;
 use crate::net::clock::Clock;
@@ -106,8 +106,8 @@
     }
 
     fn datagram(&self, bytes: &[u8]) {
-        match self.way.seal.datagram(bytes) {
-            Ok(frame) if frame.kind == Some(Kind::Gossip) => {
+        match self.way.codec.decode_datagram(bytes) {
+            Ok(frame) if frame.kind == Some(FrameKind::Gossip) => {
                 let effects = self.membership.borrow_mut().receive(self.clock.now(), frame.body());
                 self.carry_out(effects);
             }
@@ -124,7 +124,7 @@
         if let Some(back) = back {
             let at = self.membership.borrow().view().present.get(from).map(|member| member.address);
             // It asked over a link, which carries the answer. No room is counted by the way.
-            let _ = self.way.send(from, at, Lane::Hints, Kind::Compare, &back);
+            let _ = self.way.send(from, at, Lane::BestEffort, FrameKind::Compare, &back);
         }
     }
 
@@ -133,15 +133,21 @@
             match effect {
                 Effect::Send { to, bytes } => {
                     let at = self.way.address(&to.name, Some(to.address)).unwrap_or(to.address);
-                    match self.way.seal.frame(Kind::Gossip, &bytes) {
+                    match self.way.codec.encode(FrameKind::Gossip, &bytes) {
                         // A datagram that the system has no room for is lost, as others are.
                         Some(frame) => drop(self.socket.try_send_to(&frame, at)),
-                        None => self.way.counts.borrow_mut().foreign(Foreign::Size(bytes.len() as u32)),
+                        None => self.way.counts.borrow_mut().foreign(FrameError::Size(bytes.len() as u32)),
                     }
                 }
                 Effect::Compare { with, bytes } => {
                     // No room is counted by the way, and the next comparison comes anyhow.
-                    let _ = self.way.send(&with.name, Some(with.address), Lane::Hints, Kind::Compare, &bytes);
+                    let _ = self.way.send(
+                        &with.name,
+                        Some(with.address),
+                        Lane::BestEffort,
+                        FrameKind::Compare,
+                        &bytes,
+                    );
                 }
                 Effect::Changed(change) => {
                     self.tell(&change);
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -8,7 +8,7 @@
 
 use super::clock::Clock;
 use super::fleet_section::FleetSection;
-use frame::Kind;
+use frame::FrameKind;
 use hints::{Hints, Start};
 use serde_json::{json, Value};
 use std::rc::Rc;
@@ -58,7 +58,7 @@
         let fleet = Rc::new(Fleet { section, way: way.clone(), hints, load });
         let takes = fleet.clone();
         way.take(Rc::new(move |from, frame| {
-            if let (Some(hints), Some(Kind::Compare)) = (&takes.hints, frame.kind) {
+            if let (Some(hints), Some(FrameKind::Compare)) = (&takes.hints, frame.kind) {
                 hints.compared(from, frame.body());
             }
         }));
--- a/src/net/fleet/outbox.rs
+++ b/src/net/fleet/outbox.rs
@@ -6,14 +6,14 @@
 /// How urgent a frame is: a lane goes out only while those before it are empty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lane {
-    /// What the keepers of the record agree by.
+    /// Messages of the record's consensus.
     #[allow(dead_code, reason = "the record is its user")]
-    Agreement,
-    /// What is copied.
+    Consensus,
+    /// Copies of the record.
     #[allow(dead_code, reason = "the record is its user")]
-    Copies,
-    /// What is only a hint: of too many, the oldest are dropped.
-    Hints,
+    Replication,
+    /// Hints: of too many, the oldest are dropped.
+    BestEffort,
 }
 
 /// There is no room in a lane.
@@ -27,7 +27,7 @@
     bytes: [usize; 3],
     /// Bytes in each lane at most.
     limit: usize,
-    /// Hints that were dropped for newer ones.
+    /// Best-effort frames that were dropped for newer ones.
     pub dropped: u64,
 }
 
@@ -44,7 +44,7 @@
             return Err(Full);
         }
         while self.bytes[at] + frame.len() > limit {
-            if lane != Lane::Hints {
+            if lane != Lane::BestEffort {
                 return Err(Full);
             }
             let Some(oldest) = self.lanes[at].pop_front() else { break };
--- a/src/net/fleet/outbox/tests.rs
+++ b/src/net/fleet/outbox/tests.rs
@@ -9,14 +9,14 @@
     let frame = |byte: u8| Bytes::from(vec![byte; 40]);
     let mut outbox = Outbox::new(100);
     for byte in 0..10 {
-        assert_eq!(outbox.push(Lane::Hints, frame(byte)), Ok(()));
+        assert_eq!(outbox.push(Lane::BestEffort, frame(byte)), Ok(()));
     }
     assert_eq!(outbox.dropped, 8);
-    assert_eq!(outbox.push(Lane::Copies, frame(20)), Ok(()));
-    assert_eq!(outbox.push(Lane::Agreement, frame(30)), Ok(()));
-    assert_eq!(outbox.push(Lane::Agreement, frame(31)), Ok(()));
-    assert_eq!(outbox.push(Lane::Agreement, frame(32)), Err(Full));
-    assert_eq!(outbox.push(Lane::Hints, Bytes::from(vec![0; 101])), Err(Full));
+    assert_eq!(outbox.push(Lane::Replication, frame(20)), Ok(()));
+    assert_eq!(outbox.push(Lane::Consensus, frame(30)), Ok(()));
+    assert_eq!(outbox.push(Lane::Consensus, frame(31)), Ok(()));
+    assert_eq!(outbox.push(Lane::Consensus, frame(32)), Err(Full));
+    assert_eq!(outbox.push(Lane::BestEffort, Bytes::from(vec![0; 101])), Err(Full));
     let order: Vec<u8> = std::iter::from_fn(|| outbox.pop()).map(|frame| frame[0]).collect();
     assert_eq!(order, [30, 31, 20, 8, 9]);
     assert!(outbox.is_empty() && outbox.bytes == [0; 3]);
--- a/src/net/fleet/peers.rs
+++ b/src/net/fleet/peers.rs
@@ -46,10 +46,13 @@
 }
 
 /// A peer played by hand that greets as it should.
-async fn greet(at: SocketAddr, seal: Seal, name: &str, to: &str) -> TcpStream {
+async fn greet(at: SocketAddr, codec: FrameCodec, name: &str, to: &str) -> TcpStream {
     let mut stream = TcpStream::connect(at).await.expect("a listener");
     let hello = Hello { name: name.to_owned(), to: to.to_owned(), life: 9 };
-    stream.write_all(&seal.frame(Kind::Hello, &body(&hello)).expect("it fits")).await.expect("room");
+    stream
+        .write_all(&codec.encode(FrameKind::Hello, &encode_body(&hello)).expect("it fits"))
+        .await
+        .expect("room");
     stream
 }
 
@@ -60,21 +63,21 @@
     played(async {
         let (other, other_at, came) = way("b", &[]).await;
         let (here, at, _) = way("a", &[("b", other_at)]).await;
-        let _never_reads = greet(at, here.seal, "n", "a").await;
+        let _never_reads = greet(at, here.codec, "n", "a").await;
         until("its link", || here.links() == (0, 1)).await;
         let big = vec![0; 100_000];
         let mut refused = 0;
         for _ in 0..100 {
-            refused += u32::from(here.send("n", None, Lane::Copies, Kind::Compare, &big).is_err());
-            assert_eq!(here.send("b", None, Lane::Copies, Kind::Compare, b"small"), Ok(()));
+            refused += u32::from(here.send("n", None, Lane::Replication, FrameKind::Compare, &big).is_err());
+            assert_eq!(here.send("b", None, Lane::Replication, FrameKind::Compare, b"small"), Ok(()));
             tokio::task::yield_now().await;
         }
         assert!(refused > 0, "no limit was met");
         until("what the other was sent", || came.borrow().len() == 100).await;
         until("the end of the link that does not move", || here.counts.borrow().silent >= 1).await;
 
-        let mut dribbles = greet(at, here.seal, "d", "a").await;
-        let frame = here.seal.frame(Kind::Compare, &[0; 1000]).expect("it fits");
+        let mut dribbles = greet(at, here.codec, "d", "a").await;
+        let frame = here.codec.encode(FrameKind::Compare, &[0; 1000]).expect("it fits");
         let before = here.counts.borrow().silent;
         for byte in frame.iter() {
             // It writes for as long as it may; what it writes is never a whole frame in time.
@@ -97,17 +100,17 @@
         let (other, other_at, _) = way("b", &[]).await;
         // The address of `x` is now that of `b`.
         let (here, at, came) = way("a", &[("x", other_at)]).await;
-        assert_eq!(here.send("x", Some(other_at), Lane::Hints, Kind::Compare, b"for x"), Ok(()));
+        assert_eq!(here.send("x", Some(other_at), Lane::BestEffort, FrameKind::Compare, b"for x"), Ok(()));
         until("a greeting for somebody else", || other.counts.borrow().wrong_name >= 1).await;
         assert_eq!((here.links(), other.links()), ((0, 0), (0, 0)));
 
         let mut next = TcpStream::connect(at).await.expect("a listener");
-        let mut hello = body(&Hello { name: "n".to_owned(), to: "a".to_owned(), life: 9 });
-        hello.extend(body(&("a field that is new", 77u32)));
+        let mut hello = encode_body(&Hello { name: "n".to_owned(), to: "a".to_owned(), life: 9 });
+        hello.extend(encode_body(&("a field that is new", 77u32)));
         for (kind, content) in
-            [(Kind::Hello as u16, &hello[..]), (999, b"?"), (Kind::Compare as u16, b"good")]
+            [(FrameKind::Hello as u16, &hello[..]), (999, b"?"), (FrameKind::Compare as u16, b"good")]
         {
-            let frame = here.seal.sealed(VERSION + 1, kind, content).expect("it fits");
+            let frame = here.codec.encode_as(VERSION + 1, kind, content).expect("it fits");
             next.write_all(&frame).await.expect("room");
         }
         until("its frame", || came.borrow().iter().any(|(from, length)| from == "n" && *length == 4)).await;
@@ -125,14 +128,14 @@
         let (_d, d_at, came_d) = way("d", &[]).await;
         let (here, at, came) = way("a", &[]).await;
         for (name, to, came) in [("b", b_at, &came_b), ("c", c_at, &came_c), ("d", d_at, &came_d)] {
-            assert_eq!(here.send(name, Some(to), Lane::Hints, Kind::Compare, b"hello"), Ok(()));
+            assert_eq!(here.send(name, Some(to), Lane::BestEffort, FrameKind::Compare, b"hello"), Ok(()));
             until("a frame", || !came.borrow().is_empty()).await;
             assert!(here.links().0 <= 2);
         }
         until("the oldest to leave", || b.links() == (0, 0)).await;
         // Both at once: whichever comes up first, one is left, and both ways carry.
-        assert_eq!(here.send("b", Some(b_at), Lane::Hints, Kind::Compare, b"1"), Ok(()));
-        assert_eq!(b.send("a", Some(at), Lane::Hints, Kind::Compare, b"2"), Ok(()));
+        assert_eq!(here.send("b", Some(b_at), Lane::BestEffort, FrameKind::Compare, b"1"), Ok(()));
+        assert_eq!(b.send("a", Some(at), Lane::BestEffort, FrameKind::Compare, b"2"), Ok(()));
         until("both frames", || {
             came.borrow().iter().any(|(from, _)| from == "b") && came_b.borrow().len() == 2
         })
--- a/src/net/fleet/way.rs
+++ b/src/net/fleet/way.rs
@@ -3,7 +3,7 @@
 //! A connection carries both ways, whoever dialled. It begins with a greeting each way, and ends when no whole frame came
 //! for four beats: a peer that is silent, dribbles or does not read costs no more than its own connection and its outbox.
 
-use super::frame::{body, Broken, Foreign, Frame, Kind, Seal, HEAD};
+use super::frame::{encode_body, ConnectionError, Frame, FrameCodec, FrameError, FrameKind, HEADER_LENGTH};
 use super::outbox::{Full, Lane, Outbox};
 use crate::net::fleet_section::FleetSection;
 use crate::net::room::NO_DESCRIPTOR;
@@ -83,14 +83,14 @@
 
 impl Counts {
     /// Notes why something was turned away.
-    pub fn foreign(&mut self, why: Foreign) {
+    pub fn foreign(&mut self, why: FrameError) {
         *match why {
-            Foreign::Mark => &mut self.mark,
-            Foreign::Checksum => &mut self.checksum,
-            Foreign::Version(_) => &mut self.version,
-            Foreign::Fleet => &mut self.fleet,
-            Foreign::Generation(_) => &mut self.generation,
-            Foreign::Size(_) => &mut self.size,
+            FrameError::Magic => &mut self.mark,
+            FrameError::Checksum => &mut self.checksum,
+            FrameError::Version(_) => &mut self.version,
+            FrameError::Fleet => &mut self.fleet,
+            FrameError::Generation(_) => &mut self.generation,
+            FrameError::Size(_) => &mut self.size,
         } += 1;
     }
 }
@@ -128,7 +128,7 @@
 }
 
 /// The end of a connection that frames are read from.
-type Reader = FramedRead<OwnedReadHalf, Seal>;
+type Reader = FramedRead<OwnedReadHalf, FrameCodec>;
 
 /// Takes in the frames that come on links.
 type Taker = dyn Fn(&str, &Frame);
@@ -137,7 +137,7 @@
 pub struct Way {
     section: FleetSection,
     /// What frames of this fleet carry.
-    pub seal: Seal,
+    pub codec: FrameCodec,
     life: u64,
     peers: RefCell<HashMap<Rc<str>, Rc<Peer>>>,
     taker: RefCell<Option<Rc<Taker>>>,
@@ -152,16 +152,16 @@
     Closed,
     Silent,
     Idle,
-    Broken(Broken),
+    ConnectionError(ConnectionError),
 }
 
 impl Way {
     /// The way of a front door whose present life is `life`.
     pub fn new(section: FleetSection, life: u64) -> Rc<Way> {
-        let seal = Seal::new(&section.fleet, section.generation, section.frame_bytes);
+        let codec = FrameCodec::new(&section.fleet, section.generation, section.frame_bytes);
         Rc::new(Way {
             section,
-            seal,
+            codec,
             life,
             peers: RefCell::default(),
             taker: RefCell::default(),
@@ -197,10 +197,10 @@
         to: &str,
         at: Option<SocketAddr>,
         lane: Lane,
-        kind: Kind,
+        kind: FrameKind,
         content: &[u8],
     ) -> Result<(), Full> {
-        let frame = self.seal.frame(kind, content).ok_or(Full);
+        let frame = self.codec.encode(kind, content).ok_or(Full);
         let sent = frame.and_then(|frame| self.queue(to, at, lane, frame));
         if sent.is_err() {
             self.counts.borrow_mut().full += 1;
@@ -337,11 +337,15 @@
         self.forget(&peer);
     }
 
-    async fn greet(&self, peer: &Peer, at: SocketAddr) -> Result<(Reader, OwnedWriteHalf, u64), Broken> {
+    async fn greet(
+        &self,
+        peer: &Peer,
+        at: SocketAddr,
+    ) -> Result<(Reader, OwnedWriteHalf, u64), ConnectionError> {
         let stream = TcpStream::connect(at).await?;
         stream.set_nodelay(true)?;
         let (reader, mut writer) = stream.into_split();
-        let mut reader = FramedRead::with_capacity(reader, self.seal, 4096);
+        let mut reader = FramedRead::with_capacity(reader, self.codec, 4096);
         self.say_hello(&mut writer, &peer.name).await?;
         let hello = self.hear_hello(&mut reader).await?;
         if hello.name != *peer.name {
@@ -351,16 +355,17 @@
         Ok((reader, writer, hello.life))
     }
 
-    async fn say_hello(&self, writer: &mut OwnedWriteHalf, to: &str) -> Result<(), Broken> {
+    async fn say_hello(&self, writer: &mut OwnedWriteHalf, to: &str) -> Result<(), ConnectionError> {
         let hello = Hello { name: self.section.own.clone(), to: to.to_owned(), life: self.life };
-        let frame = self.seal.frame(Kind::Hello, &body(&hello)).ok_or(Foreign::Size(0))?;
+        let frame = self.codec.encode(FrameKind::Hello, &encode_body(&hello)).ok_or(FrameError::Size(0))?;
         Ok(writer.write_all(&frame).await?)
     }
 
-    async fn hear_hello(&self, reader: &mut Reader) -> Result<Hello, Broken> {
+    async fn hear_hello(&self, reader: &mut Reader) -> Result<Hello, ConnectionError> {
         let frame = reader.next().await.ok_or(io::Error::from(io::ErrorKind::UnexpectedEof))??;
-        let hello: Option<Hello> = (frame.kind == Some(Kind::Hello)).then(|| frame.read()).flatten();
-        let hello = hello.ok_or(Foreign::Mark)?;
+        let hello: Option<Hello> =
+            (frame.kind == Some(FrameKind::Hello)).then(|| frame.decode_body()).flatten();
+        let hello = hello.ok_or(FrameError::Magic)?;
         if hello.to != self.section.own || hello.name == self.section.own {
             self.counts.borrow_mut().wrong_name += 1;
             return Err(io::Error::from(io::ErrorKind::AddrNotAvailable).into());
@@ -368,10 +373,10 @@
         Ok(hello)
     }
 
-    fn refused(&self, why: Broken) {
+    fn refused(&self, why: ConnectionError) {
         let mut counts = self.counts.borrow_mut();
         counts.dials_failed += 1;
-        if let Broken::Foreign(why) = why {
+        if let ConnectionError::Frame(why) = why {
             counts.foreign(why);
         }
     }
@@ -400,16 +405,16 @@
         // Without it frames are late, not wrong.
         let _ = stream.set_nodelay(true);
         let (reader, mut writer) = stream.into_split();
-        let mut reader = FramedRead::with_capacity(reader, self.seal, 4096);
+        let mut reader = FramedRead::with_capacity(reader, self.codec, 4096);
         let greeting = async {
             let hello = self.hear_hello(&mut reader).await?;
             self.say_hello(&mut writer, &hello.name).await?;
-            Ok::<_, Broken>(hello)
+            Ok::<_, ConnectionError>(hello)
         };
         let hello = match timeout(Duration::from_millis(self.section.hello_ms), greeting).await {
             Ok(Ok(hello)) => hello,
-            Ok(Err(Broken::Foreign(why))) => return self.counts.borrow_mut().foreign(why),
-            Ok(Err(Broken::Io(_))) => return,
+            Ok(Err(ConnectionError::Frame(why))) => return self.counts.borrow_mut().foreign(why),
+            Ok(Err(ConnectionError::Io(_))) => return,
             Err(_elapsed) => return self.counts.borrow_mut().silent += 1,
         };
         let Some(peer) = self.peer(&hello.name) else {
@@ -460,8 +465,8 @@
             counts.down += 1;
             match ended {
                 End::Silent => counts.silent += 1,
-                End::Broken(Broken::Foreign(why)) => counts.foreign(why),
-                End::Broken(Broken::Io(_)) | End::Closed | End::Idle => {}
+                End::ConnectionError(ConnectionError::Frame(why)) => counts.foreign(why),
+                End::ConnectionError(ConnectionError::Io(_)) | End::Closed | End::Idle => {}
             }
         }
         let mut link = peer.link.borrow_mut();
@@ -485,17 +490,17 @@
         loop {
             let frame = match timeout(self.silence(), reader.next()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(why))) => return End::Broken(why),
+                Ok(Some(Err(why))) => return End::ConnectionError(why),
                 Ok(None) => return End::Closed,
                 Err(_elapsed) => return End::Silent,
             };
             {
                 let mut counts = self.counts.borrow_mut();
                 counts.read += 1;
-                counts.read_bytes += (HEAD + frame.body().len()) as u64;
+                counts.read_bytes += (HEADER_LENGTH + frame.body().len()) as u64;
                 counts.unknown += u64::from(frame.kind.is_none());
             }
-            if matches!(frame.kind, Some(Kind::Beat | Kind::Hello) | None) {
+            if matches!(frame.kind, Some(FrameKind::Heartbeat | FrameKind::Hello) | None) {
                 continue;
             }
             peer.used.set(Instant::now());
@@ -508,7 +513,7 @@
 
     async fn write(&self, peer: &Peer, writer: &mut OwnedWriteHalf, dialled: bool, end: &Ending) -> End {
         let beat = Duration::from_millis(self.section.beat_ms);
-        let Some(sign) = self.seal.frame(Kind::Beat, &[]) else { return End::Closed };
+        let Some(sign) = self.codec.encode(FrameKind::Heartbeat, &[]) else { return End::Closed };
         loop {
             if end.asked.get() {
                 return End::Closed;
@@ -534,7 +539,7 @@
                     counts.sent += 1;
                     counts.sent_bytes += frame.len() as u64;
                 }
-                Ok(Err(error)) => return End::Broken(error.into()),
+                Ok(Err(error)) => return End::ConnectionError(error.into()),
                 Err(_elapsed) => return End::Silent,
             }
         }
