Name the fleet's transport and its membership service as what they are

Need: "way", "hints", "taker" and the like needed explaining, and one file of 546 lines held greetings, dials, accepted connections, reading, writing and counters.

Change: `way.rs` is `transport.rs`, with a module each for the counters, a peer and its link, the handshake, the dialer, the listener and what runs on a connection; `hints.rs` is `membership.rs` with `MembershipService`; the tests against peers played by hand stand in `transport/tests.rs` and check what they did. The log's keys, among them `way`, and the order of every step are as they were. The docs follow the names.

--- a/src/net/fleet/hints.rs
+++ b/src/net/fleet/membership.rs
@@ -1,8 +1,8 @@
-//! Membership on sockets: datagrams, comparisons over the way, and its timers.
+//! Membership on sockets: datagrams, comparisons over the transport, and its timers.
 
 use super::frame::{FrameError, FrameKind};
 use super::outbox::Lane;
-use super::way::Way;
+use super::transport::Transport;
 use crate::net::clock::Clock;
 use crate::net::fleet_section::FleetSection;
 use cometspool_membership::{Change, Effect, Member, Membership, Times};
@@ -14,15 +14,15 @@
 use tokio::sync::Notify;
 
 /// Datagrams read before timers get their turn.
-const AT_ONCE: usize = 64;
+const MAX_BATCH: usize = 64;
 /// Longest datagram that is read; a longer one is no frame.
-const LONGEST: usize = 2048;
+const LONGEST_DATAGRAM: usize = 2048;
 
 /// What is new with each start.
 #[derive(Clone, Copy, Debug)]
 pub struct Start {
-    /// Front doors that the settings tell.
-    pub told: u32,
+    /// Front doors by the settings.
+    pub configured_size: u32,
     /// Drawn: tells this process from all others under its name.
     pub life: u64,
     /// For chance.
@@ -30,28 +30,28 @@
 }
 
 /// Who seems present, as far as sockets tell.
-pub struct Hints {
+pub struct MembershipService {
     membership: RefCell<Membership>,
     socket: UdpSocket,
-    way: Rc<Way>,
+    transport: Rc<Transport>,
     clock: Clock,
     own: String,
     changed: Notify,
-    /// Told how many front doors the fleet seems to have.
-    sized: Box<dyn Fn(u32)>,
+    /// Called with how many front doors the fleet seems to have.
+    on_size: Box<dyn Fn(u32)>,
 }
 
-impl Hints {
+impl MembershipService {
     /// Begins to look for the others.
     pub fn new(
         section: &FleetSection,
         socket: UdpSocket,
-        way: Rc<Way>,
+        transport: Rc<Transport>,
         clock: Clock,
         start: Start,
-        sized: Box<dyn Fn(u32)>,
-    ) -> Rc<Hints> {
-        let Start { told, life, seed } = start;
+        on_size: Box<dyn Fn(u32)>,
+    ) -> Rc<MembershipService> {
+        let Start { configured_size, life, seed } = start;
         let own = Member {
             // Later than any before under this name, if the clock is right; if not, the others tell.
             number: clock.now().max(1.0) as u64,
@@ -61,22 +61,22 @@
             ..Member::unknown(&section.own, section.advertise)
         };
         let peers = section.peers.iter().map(|(name, dial)| Member::unknown(name, *dial)).collect();
-        let size = told.max(section.peers.len() as u32 + 1);
+        let size = configured_size.max(section.peers.len() as u32 + 1);
         let membership = Membership::new(clock.now(), own, peers, Times::of(size), size, seed);
-        Rc::new(Hints {
+        Rc::new(MembershipService {
             membership: RefCell::new(membership),
             socket,
-            way,
+            transport,
             clock,
             own: section.own.clone(),
             changed: Notify::new(),
-            sized,
+            on_size,
         })
     }
 
     /// Reads datagrams and fires timers for as long as the front door runs.
     pub async fn run(self: Rc<Self>) {
-        let mut buffer = vec![0; LONGEST];
+        let mut buffer = vec![0; LONGEST_DATAGRAM];
         loop {
             let next = self.membership.borrow().next();
             let due = async {
@@ -93,55 +93,59 @@
                 () = self.changed.notified() => {}
             }
             // What came while the process was kept from running is heard before timers judge anybody.
-            for _ in 0..AT_ONCE {
+            for _ in 0..MAX_BATCH {
                 match self.socket.try_recv_from(&mut buffer) {
-                    Ok((length, _)) => self.datagram(&buffer[..length]),
+                    Ok((length, _)) => self.receive_datagram(&buffer[..length]),
                     Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
                     Err(_) => {}
                 }
             }
             let effects = self.membership.borrow_mut().tick(self.clock.now());
-            self.carry_out(effects);
+            self.apply(effects);
         }
     }
 
-    fn datagram(&self, bytes: &[u8]) {
-        match self.way.codec.decode_datagram(bytes) {
+    fn receive_datagram(&self, bytes: &[u8]) {
+        match self.transport.codec.decode_datagram(bytes) {
             Ok(frame) if frame.kind == Some(FrameKind::Gossip) => {
                 let effects = self.membership.borrow_mut().receive(self.clock.now(), frame.body());
-                self.carry_out(effects);
+                self.apply(effects);
             }
-            Ok(_) => self.way.counts.borrow_mut().unknown += 1,
-            Err(why) => self.way.counts.borrow_mut().foreign(why),
+            Ok(_) => self.transport.counters.borrow_mut().unknown += 1,
+            Err(why) => self.transport.counters.borrow_mut().record_rejected(why),
         }
     }
 
     /// Takes in a peer's part of a comparison.
-    pub fn compared(&self, from: &str, bytes: &[u8]) {
-        let (effects, back) = self.membership.borrow_mut().compare(self.clock.now(), bytes);
-        self.carry_out(effects);
+    pub fn receive_comparison(&self, from: &str, bytes: &[u8]) {
+        let (effects, reply) = self.membership.borrow_mut().compare(self.clock.now(), bytes);
+        self.apply(effects);
         self.changed.notify_one();
-        if let Some(back) = back {
+        if let Some(reply) = reply {
             let at = self.membership.borrow().view().present.get(from).map(|member| member.address);
-            // It asked over a link, which carries the answer. No room is counted by the way.
-            let _ = self.way.send(from, at, Lane::BestEffort, FrameKind::Compare, &back);
+            // It asked over a link, which carries the answer. A full lane is counted by the transport.
+            let _ = self.transport.send(from, at, Lane::BestEffort, FrameKind::Compare, &reply);
         }
     }
 
-    fn carry_out(&self, effects: Vec<Effect>) {
+    fn apply(&self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
                 Effect::Send { to, bytes } => {
-                    let at = self.way.address(&to.name, Some(to.address)).unwrap_or(to.address);
-                    match self.way.codec.encode(FrameKind::Gossip, &bytes) {
-                        // A datagram that the system has no room for is lost, as others are.
+                    let at = self.transport.address(&to.name, Some(to.address)).unwrap_or(to.address);
+                    match self.transport.codec.encode(FrameKind::Gossip, &bytes) {
+                        // A datagram that the system cannot take is lost, as others are.
                         Some(frame) => drop(self.socket.try_send_to(&frame, at)),
-                        None => self.way.counts.borrow_mut().foreign(FrameError::Size(bytes.len() as u32)),
+                        None => self
+                            .transport
+                            .counters
+                            .borrow_mut()
+                            .record_rejected(FrameError::Size(bytes.len() as u32)),
                     }
                 }
                 Effect::Compare { with, bytes } => {
-                    // No room is counted by the way, and the next comparison comes anyhow.
-                    let _ = self.way.send(
+                    // A full lane is counted by the transport, and the next comparison comes anyhow.
+                    let _ = self.transport.send(
                         &with.name,
                         Some(with.address),
                         Lane::BestEffort,
@@ -150,17 +154,17 @@
                     );
                 }
                 Effect::Changed(change) => {
-                    self.tell(&change);
+                    self.log_change(&change);
                     let membership = self.membership.borrow();
                     let view = membership.view();
                     // Whoever failed of late may live on the other side of a cut, and do all that this one does.
-                    (self.sized)((view.present.len() + view.failed.len()) as u32);
+                    (self.on_size)((view.present.len() + view.failed.len()) as u32);
                 }
             }
         }
     }
 
-    fn tell(&self, change: &Change) {
+    fn log_change(&self, change: &Change) {
         let (what, member) = match change {
             Change::Up(member) => ("up", member),
             Change::Left(member) => ("left", member),
@@ -174,17 +178,17 @@
     }
 
     /// Lets the others know how busy this one is.
-    pub fn tell_load(&self, load: u16) {
+    pub fn report_load(&self, load: u16) {
         self.membership.borrow_mut().tell_load(self.clock.now(), load);
     }
 
     /// Tells the others that this one goes.
     pub fn leave(&self) {
         let effects = self.membership.borrow_mut().leave(self.clock.now());
-        self.carry_out(effects);
+        self.apply(effects);
     }
 
-    /// What there is to tell of it.
+    /// The view and the counters, for the log.
     pub fn status(&self) -> serde_json::Value {
         let membership = self.membership.borrow();
         let view = membership.view();
--- a/src/net/fleet/peers.rs
+++ b/src/net/fleet/transport/tests.rs
@@ -1,20 +1,23 @@
-//! The way against peers that a test plays by hand, on loopback.
+//! The transport against peers that a test plays by hand, on loopback.
 
-use super::super::frame::VERSION;
+use super::handshake::Hello;
 use super::*;
-use crate::net::fleet_section::FleetSection;
+use crate::net::fleet::frame::{encode_body, VERSION};
 use serde_json::json;
 use std::future::Future;
-use tokio::io::AsyncReadExt;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
 
 /// A wide limit for what has to come about.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// A way called `own` with quick beats, small queues and few links, and what came on it.
-async fn way(
+/// A transport called `own` with quick heartbeats, small queues and few links, and what came on it.
+async fn transport(
     own: &str,
     peers: &[(&str, SocketAddr)],
-) -> (Rc<Way>, SocketAddr, Rc<RefCell<Vec<(String, usize)>>>) {
+) -> (Rc<Transport>, SocketAddr, Rc<RefCell<Vec<(String, usize)>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let at = listener.local_addr().expect("an address");
     let peers: Vec<_> =
@@ -24,12 +27,14 @@
         "queue_bytes": 600_000, "hello_ms": 500,
     });
     let section = FleetSection::parse(&raw, own).expect("a sound section");
-    let way = Way::new(section, u64::from(own.as_bytes()[0]));
+    let transport = Transport::new(section, u64::from(own.as_bytes()[0]));
     let came: Rc<RefCell<Vec<(String, usize)>>> = Rc::default();
     let taken = came.clone();
-    way.take(Rc::new(move |from, frame| taken.borrow_mut().push((from.to_owned(), frame.body().len()))));
-    tokio::task::spawn_local(way.clone().accept(listener));
-    (way, at, came)
+    transport.set_handler(Rc::new(move |from, frame| {
+        taken.borrow_mut().push((from.to_owned(), frame.body().len()))
+    }));
+    tokio::task::spawn_local(transport.clone().accept(listener));
+    (transport, at, came)
 }
 
 fn played(test: impl Future<Output = ()>) {
@@ -61,10 +66,10 @@
 #[test]
 fn a_peer_that_does_not_read_or_dribbles_costs_only_its_own_link() {
     played(async {
-        let (other, other_at, came) = way("b", &[]).await;
-        let (here, at, _) = way("a", &[("b", other_at)]).await;
+        let (other, other_at, came) = transport("b", &[]).await;
+        let (here, at, _) = transport("a", &[("b", other_at)]).await;
         let _never_reads = greet(at, here.codec, "n", "a").await;
-        until("its link", || here.links() == (0, 1)).await;
+        until("its link", || here.link_counts() == (0, 1)).await;
         let big = vec![0; 100_000];
         let mut refused = 0;
         for _ in 0..100 {
@@ -74,11 +79,11 @@
         }
         assert!(refused > 0, "no limit was met");
         until("what the other was sent", || came.borrow().len() == 100).await;
-        until("the end of the link that does not move", || here.counts.borrow().silent >= 1).await;
+        until("the end of the link that does not move", || here.counters.borrow().silent >= 1).await;
 
         let mut dribbles = greet(at, here.codec, "d", "a").await;
         let frame = here.codec.encode(FrameKind::Compare, &[0; 1000]).expect("it fits");
-        let before = here.counts.borrow().silent;
+        let before = here.counters.borrow().silent;
         for byte in frame.iter() {
             // It writes for as long as it may; what it writes is never a whole frame in time.
             if dribbles.write_all(&[*byte]).await.is_err() {
@@ -86,9 +91,9 @@
             }
             sleep(Duration::from_millis(5)).await;
         }
-        until("the end of the one that dribbles", || here.counts.borrow().silent > before).await;
+        until("the end of the one that dribbles", || here.counters.borrow().silent > before).await;
         assert!(!came.borrow().iter().any(|(from, _)| from == "d"));
-        assert_eq!(other.links().1, 1, "the one that reads keeps its link");
+        assert_eq!(other.link_counts().1, 1, "the one that reads keeps its link");
     });
 }
 
@@ -97,12 +102,12 @@
 #[test]
 fn only_the_one_that_was_meant_is_linked_and_the_next_version_is() {
     played(async {
-        let (other, other_at, _) = way("b", &[]).await;
+        let (other, other_at, _) = transport("b", &[]).await;
         // The address of `x` is now that of `b`.
-        let (here, at, came) = way("a", &[("x", other_at)]).await;
+        let (here, at, came) = transport("a", &[("x", other_at)]).await;
         assert_eq!(here.send("x", Some(other_at), Lane::BestEffort, FrameKind::Compare, b"for x"), Ok(()));
-        until("a greeting for somebody else", || other.counts.borrow().wrong_name >= 1).await;
-        assert_eq!((here.links(), other.links()), ((0, 0), (0, 0)));
+        until("a greeting for somebody else", || other.counters.borrow().wrong_name >= 1).await;
+        assert_eq!((here.link_counts(), other.link_counts()), ((0, 0), (0, 0)));
 
         let mut next = TcpStream::connect(at).await.expect("a listener");
         let mut hello = encode_body(&Hello { name: "n".to_owned(), to: "a".to_owned(), life: 9 });
@@ -114,7 +119,7 @@
             next.write_all(&frame).await.expect("room");
         }
         until("its frame", || came.borrow().iter().any(|(from, length)| from == "n" && *length == 4)).await;
-        assert_eq!(here.counts.borrow().unknown, 1);
+        assert_eq!(here.counters.borrow().unknown, 1);
     });
 }
 
@@ -123,16 +128,16 @@
 #[test]
 fn links_stay_within_their_bounds_and_two_keep_one() {
     played(async {
-        let (b, b_at, came_b) = way("b", &[]).await;
-        let (_c, c_at, came_c) = way("c", &[]).await;
-        let (_d, d_at, came_d) = way("d", &[]).await;
-        let (here, at, came) = way("a", &[]).await;
+        let (b, b_at, came_b) = transport("b", &[]).await;
+        let (_c, c_at, came_c) = transport("c", &[]).await;
+        let (_d, d_at, came_d) = transport("d", &[]).await;
+        let (here, at, came) = transport("a", &[]).await;
         for (name, to, came) in [("b", b_at, &came_b), ("c", c_at, &came_c), ("d", d_at, &came_d)] {
             assert_eq!(here.send(name, Some(to), Lane::BestEffort, FrameKind::Compare, b"hello"), Ok(()));
             until("a frame", || !came.borrow().is_empty()).await;
-            assert!(here.links().0 <= 2);
+            assert!(here.link_counts().0 <= 2);
         }
-        until("the oldest to leave", || b.links() == (0, 0)).await;
+        until("the oldest to leave", || b.link_counts() == (0, 0)).await;
         // Both at once: whichever comes up first, one is left, and both ways carry.
         assert_eq!(here.send("b", Some(b_at), Lane::BestEffort, FrameKind::Compare, b"1"), Ok(()));
         assert_eq!(b.send("a", Some(at), Lane::BestEffort, FrameKind::Compare, b"2"), Ok(()));
@@ -140,13 +145,13 @@
             came.borrow().iter().any(|(from, _)| from == "b") && came_b.borrow().len() == 2
         })
         .await;
-        until("one link", || b.links().0 + b.links().1 == 1).await;
+        until("one link", || b.link_counts().0 + b.link_counts().1 == 1).await;
 
         let mut strangers = Vec::new();
         for _ in 0..6 {
             strangers.push(TcpStream::connect(at).await.expect("a listener"));
         }
-        until("those that are too many", || here.counts.borrow().crowded >= 3).await;
+        until("those that are too many", || here.counters.borrow().crowded >= 3).await;
         // Those that say nothing are told nothing and end.
         let mut rest = Vec::new();
         let ended = timeout(PATIENCE, strangers[0].read_to_end(&mut rest)).await.expect("an end");
