Name the raw fleet section in messages as it was named before

Need: a `fleet` section that is no object is refused with a message of the parser that holds the type's name, which the rename had changed.

Change: the type, private to its module, has its former name `Raw`.

Measured: the program before the rename and this one, started with 38 unusable `fleet` sections: exit code and standard error equal for all 38. Before this commit 3 of them differed, in that name alone. (A trial with serde's `rename` left the 3 different.)

--- a/src/net/fleet_section.rs
+++ b/src/net/fleet_section.rs
@@ -61,10 +61,10 @@
     pub trials: bool,
 }
 
-/// The section as it is written.
+/// The section as it is written. The parser names this type where it finds another than an object.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct RawSection {
+struct Raw {
     name: String,
     #[serde(default)]
     generation: u32,
@@ -165,7 +165,7 @@
 impl FleetSection {
     /// Reads and checks the section of the front door called `own`.
     pub fn parse(value: &Value, own: &str) -> Result<FleetSection, SectionError> {
-        let raw: RawSection = serde_json::from_value(value.clone())?;
+        let raw: Raw = serde_json::from_value(value.clone())?;
         raw.check(own)
     }
 
@@ -175,7 +175,7 @@
     }
 }
 
-impl RawSection {
+impl Raw {
     fn check(self, own: &str) -> Result<FleetSection, SectionError> {
         check_length("name", &self.name, LONGEST_NAME)?;
         check_length("zone", &self.zone, LONGEST_ZONE)?;
