Give the membership crate's outputs modules and names of their own

Need: `told.rs` held four things, and told, said, word, wants, note, calm and reprieve needed explaining.

Change: `effect`, `counters` and `view` stand in its place. `Counts` is `Counters` and `counts()` is `counters()`, `tell_load` of `Membership` is `report_load`; inside the core, a load report, protocol output, notices, comparisons and suspicions go by these names, and constants by what they bound. Bytes on the wire and the log's keys stay. `tests/cases.rs` follows the method's name and nothing else.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -1,9 +1,11 @@
 //! The core: what comes in and the time go in, what is to be sent and what changed come out.
 
-use crate::load::{Loads, Word};
-use crate::member::{Entry, Member, Name, Standing, Wire, MOST};
+use crate::counters::Counters;
+use crate::effect::{Change, Effect};
+use crate::load::{LoadReport, Loads};
+use crate::member::{Entry, Member, Name, Standing, Wire, MAX_MEMBERS};
 use crate::times::Times;
-use crate::told::{Change, Counts, Effect, View};
+use crate::view::View;
 use bytes::Bytes;
 use foca::{Codec, Foca, Header, Message, Notification, Runtime, Timer};
 use rand::rngs::StdRng;
@@ -15,19 +17,19 @@
 use std::time::Duration;
 
 /// What two ways of adding up the same times may differ by, ms: less is no waiting.
-const GRAIN: f64 = 1e-3;
-/// Words on loads that all members together say in a second: each costs every member some ten times its 25 bytes, sent on.
-const WORDS: f64 = 5.0;
-/// A load that has moved by this, in parts of a thousand, is news.
-const NOTABLE: u16 = 100;
-/// Turns after which one that has not moved is told again.
-const REPEATED: f64 = 20.0;
+const TIME_RESOLUTION: f64 = 1e-3;
+/// Reports of loads that all members together send in a second: each costs every member some ten times its 25 bytes, sent on.
+const LOAD_REPORTS_PER_SECOND: f64 = 5.0;
+/// A load is reported at once if it has changed by this, in parts of a thousand.
+const LOAD_CHANGE: u16 = 100;
+/// Intervals between reports after which a load that has not changed is repeated.
+const REPEAT_INTERVALS: f64 = 20.0;
 /// How far the doubt in oneself goes: times are stretched to this and one times what they are (Lifeguard's bound).
-const MOST_DOUBT: u32 = 8;
+const MAX_SELF_DOUBT: u32 = 8;
 
-/// All that one knows, for a comparison.
+/// A message of a comparison of all that two members know.
 #[derive(Serialize, Deserialize)]
-enum Compared {
+enum Comparison {
     /// What it comes to. Whoever knows the same says nothing more.
     Digest(u64),
     /// All of it; whether the other's is wanted back.
@@ -44,8 +46,8 @@
     Ask(Member, u16),
 }
 
-/// What a member is doubted for: its name, its number, and the incarnation in which it did not answer.
-type Ground = (Name, u64, u16);
+/// What a member is suspected for: its name, its number, and the incarnation in which it did not answer.
+type SuspicionKey = (Name, u64, u16);
 
 /// A member of the fleet.
 pub struct Membership {
@@ -53,10 +55,10 @@
     loads: Loads,
     times: Times,
     chance: StdRng,
-    /// Where somebody may be, whether known or not: said by the configuration.
-    told: Vec<Member>,
+    /// Where somebody may be, whether known or not, by the configuration.
+    configured: Vec<Member>,
     view: View,
-    counts: Counts,
+    counters: Counters,
     /// Timers by awake time, as bits (it is never under nought, so they are ordered as it is), and then as they were set.
     timers: BTreeMap<(u64, u64), Due>,
     timers_set: u64,
@@ -68,41 +70,41 @@
     probing: bool,
     heard: bool,
     /// Those whom this process doubts, and whether they have answered since.
-    doubted: BTreeMap<Ground, bool>,
+    suspicions: BTreeMap<SuspicionKey, bool>,
     /// Until when, awake, it may take its name from one that seems alive.
     settles: f64,
     taken_name: bool,
     gone: bool,
     sequence: u32,
-    /// When it last told its load, and what.
-    said: Option<(f64, u16)>,
+    /// When it last reported its load, and what.
+    last_report: Option<(f64, u16)>,
     /// Between two comparisons now, ms, and which of those that were set counts.
-    calm: f64,
+    compare_interval: f64,
     round: u64,
 }
 
-/// Collects what the protocol wants done.
+/// Collects what the protocol asks for: datagrams, timers and notices.
 #[derive(Default)]
-struct Wants {
+struct ProtocolOutput {
     send: Vec<(Member, Bytes)>,
     timers: Vec<(Timer<Member>, Duration)>,
-    notes: Vec<Note>,
+    notices: Vec<Notice>,
 }
 
-enum Note {
+enum Notice {
     Up(Member),
     Down(Member),
     Renamed(Member),
     Returned,
 }
 
-impl Runtime<Member> for Wants {
+impl Runtime<Member> for ProtocolOutput {
     fn notify(&mut self, notification: Notification<'_, Member>) {
-        self.notes.push(match notification {
-            Notification::MemberUp(member) => Note::Up(member.clone()),
-            Notification::MemberDown(member) => Note::Down(member.clone()),
-            Notification::Rename(_, member) => Note::Renamed(member.clone()),
-            Notification::Rejoin(_) => Note::Returned,
+        self.notices.push(match notification {
+            Notification::MemberUp(member) => Notice::Up(member.clone()),
+            Notification::MemberDown(member) => Notice::Down(member.clone()),
+            Notification::Rename(_, member) => Notice::Renamed(member.clone()),
+            Notification::Rejoin(_) => Notice::Returned,
             Notification::Active | Notification::Idle | Notification::Defunct => return,
         });
     }
@@ -117,9 +119,16 @@
 }
 
 impl Membership {
-    /// A process that starts at `now` (ms of a steady clock) in a fleet of about `size`, and was told where others may
+    /// A process that starts at `now` (ms of a steady clock) in a fleet of about `size`, and is configured with where others may
     /// be. `seed` is its only source of chance.
-    pub fn new(now: f64, own: Member, told: Vec<Member>, times: Times, size: u32, seed: u64) -> Membership {
+    pub fn new(
+        now: f64,
+        own: Member,
+        configured: Vec<Member>,
+        times: Times,
+        size: u32,
+        seed: u64,
+    ) -> Membership {
         let soon = times.settled_news();
         let (mut chance, loads) = (StdRng::seed_from_u64(seed), Loads::default());
         let foca = Foca::with_custom_broadcast(
@@ -137,9 +146,9 @@
             settles: times.settle,
             times,
             chance,
-            told,
+            configured,
             view,
-            counts: Counts::default(),
+            counters: Counters::default(),
             timers: BTreeMap::new(),
             timers_set: 0,
             last: now,
@@ -147,12 +156,12 @@
             self_doubt: 0,
             probing: false,
             heard: false,
-            doubted: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
             taken_name: false,
             gone: false,
             sequence: 0,
-            said: None,
-            calm: soon,
+            last_report: None,
+            compare_interval: soon,
             round: 0,
         };
         // The first look round is at once; of many that start together each draws whom it asks.
@@ -171,9 +180,9 @@
         &self.view
     }
 
-    /// What went by.
-    pub fn counts(&self) -> Counts {
-        self.counts
+    /// The counters since the start.
+    pub fn counters(&self) -> Counters {
+        self.counters
     }
 
     /// How far it doubts itself: times are this and one times as long.
@@ -203,7 +212,7 @@
         let due = self.next().unwrap_or(now).max(self.last);
         let late = now - due;
         if late > self.times.tolerance {
-            self.counts.held_up += 1;
+            self.counters.held_up += 1;
             self.doubt_self(2);
             self.awake += due - self.last;
         } else {
@@ -213,7 +222,7 @@
     }
 
     fn doubt_self(&mut self, by: u32) {
-        self.self_doubt = (self.self_doubt + by).min(MOST_DOUBT);
+        self.self_doubt = (self.self_doubt + by).min(MAX_SELF_DOUBT);
     }
 
     fn set(&mut self, after: f64, due: Due) {
@@ -223,7 +232,7 @@
 
     fn set_compare(&mut self) {
         self.round += 1;
-        let next = self.spread(self.calm);
+        let next = self.spread(self.compare_interval);
         self.set(next, Due::Compare(self.round));
     }
 
@@ -237,7 +246,7 @@
         self.advance(now);
         let mut effects = Vec::new();
         while let Some(first) = self.timers.first_entry() {
-            if f64::from_bits(first.key().0) > self.awake + GRAIN {
+            if f64::from_bits(first.key().0) > self.awake + TIME_RESOLUTION {
                 break;
             }
             let due = first.remove();
@@ -253,29 +262,29 @@
                         }
                         (self.probing, self.heard) = (true, false);
                     }
-                    if !self.reprieve(&timer, &mut effects) {
-                        self.run(&mut effects, |foca, wants| foca.handle_timer(timer, wants));
+                    if !self.extend_suspicion(&timer, &mut effects) {
+                        self.run(&mut effects, |foca, output| foca.handle_timer(timer, output));
                     }
                 }
                 Due::Ask(member, incarnation) => {
-                    let ground = (member.name.clone(), member.number, incarnation);
-                    let unanswered = self.doubted.get(&ground) == Some(&false);
+                    let key = (member.name.clone(), member.number, incarnation);
+                    let unanswered = self.suspicions.get(&key) == Some(&false);
                     if unanswered && self.suspects(&member, incarnation) {
-                        self.run(&mut effects, |foca, wants| foca.announce(member.clone(), wants));
+                        self.run(&mut effects, |foca, output| foca.announce(member.clone(), output));
                         self.set(self.times.round_trip, Due::Ask(member, incarnation));
                     }
                 }
                 Due::Heal => self.heal(&mut effects),
                 Due::Compare(round) if round != self.round => {}
                 Due::Compare(_) => {
-                    self.calm = (self.calm * 2.0).min(self.times.compare);
+                    self.compare_interval = (self.compare_interval * 2.0).min(self.times.compare);
                     self.set_compare();
                     let own = self.own().name.clone();
                     let others = self.view.present.values().filter(|member| member.name != own);
                     if let Some(with) = others.choose(&mut self.chance).cloned() {
                         effects.push(Effect::Compare {
                             with,
-                            bytes: self.compared(&Compared::Digest(self.digest())),
+                            bytes: self.encode_comparison(&Comparison::Digest(self.digest())),
                         });
                     }
                 }
@@ -287,10 +296,10 @@
     /// Whether a member is spared when its time to defend itself is over. One that answered meanwhile is there, and its word
     /// that it is has yet to come: it gets another term, and is told what is said of it, as that may have missed it. Only an
     /// answer counts: one that is heard but hears nothing is of no use.
-    fn reprieve(&mut self, timer: &Timer<Member>, effects: &mut Vec<Effect>) -> bool {
+    fn extend_suspicion(&mut self, timer: &Timer<Member>, effects: &mut Vec<Effect>) -> bool {
         let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
-        let ground = (member_id.name.clone(), member_id.number, *incarnation);
-        let answered = self.doubted.remove(&ground) == Some(true);
+        let key = (member_id.name.clone(), member_id.number, *incarnation);
+        let answered = self.suspicions.remove(&key) == Some(true);
         if !self.suspects(member_id, *incarnation) {
             // It has defended itself. The protocol's library would find the term stale, and tell the member all the same that
             // it is dead (it asks only whether the member is known): it would come back under a new number for nothing.
@@ -298,9 +307,9 @@
         }
         if answered {
             self.doubt(timer.clone(), self.times.suspicion);
-            let said =
+            let entry =
                 Entry { member: member_id.clone(), incarnation: *incarnation, standing: Standing::Suspect };
-            let bytes = self.compared(&Compared::All(vec![said], false));
+            let bytes = self.encode_comparison(&Comparison::All(vec![entry], false));
             effects.push(Effect::Compare { with: member_id.clone(), bytes });
         }
         answered
@@ -319,16 +328,16 @@
     fn doubt(&mut self, timer: Timer<Member>, term: f64) {
         let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer else { return };
         let (member, incarnation) = (member_id.clone(), *incarnation);
-        let ground = (member.name.clone(), member.number, incarnation);
-        if self.doubted.contains_key(&ground) {
+        let key = (member.name.clone(), member.number, incarnation);
+        if self.suspicions.contains_key(&key) {
             return;
         }
-        self.doubted.insert(ground, false);
+        self.suspicions.insert(key, false);
         self.set(0.0, Due::Ask(member, incarnation));
         self.set(term, Due::Foca(timer));
     }
 
-    /// Looks for somebody who should be there: told, or failed of late.
+    /// Looks for somebody who should be there: configured, or failed of late.
     fn heal(&mut self, effects: &mut Vec<Effect>) {
         let now = self.last;
         let mourned = self.times.mourn;
@@ -340,15 +349,15 @@
         let failed =
             self.view.failed.values().map(|(member, _)| Member::unknown(&member.name, member.address));
         let missing = self
-            .told
+            .configured
             .iter()
             .cloned()
             .chain(failed)
             .filter(|member| !self.view.present.contains_key(&member.name));
         for missing in missing.sample(&mut self.chance, if alone { 2 } else { 1 }) {
-            let bytes = self.compared(&Compared::Digest(self.digest()));
+            let bytes = self.encode_comparison(&Comparison::Digest(self.digest()));
             effects.push(Effect::Compare { with: missing.clone(), bytes });
-            self.run(effects, |foca, wants| foca.announce(missing, wants));
+            self.run(effects, |foca, output| foca.announce(missing, output));
         }
     }
 
@@ -359,10 +368,10 @@
         if self.gone {
             return effects;
         }
-        self.counts.heard += 1;
-        self.counts.heard_bytes += bytes.len() as u64;
-        let Some((header, entries)) = scan(bytes).filter(|(_, entries)| self.room_for(entries)) else {
-            self.counts.malformed += 1;
+        self.counters.heard += 1;
+        self.counters.heard_bytes += bytes.len() as u64;
+        let Some((header, entries)) = scan(bytes).filter(|(_, entries)| self.has_capacity(entries)) else {
+            self.counters.malformed += 1;
             return effects;
         };
         self.heard = true;
@@ -371,19 +380,19 @@
             self.self_doubt = self.self_doubt.saturating_sub(1);
         }
         if header.message == Message::Feed {
-            let of_it = self.doubted.iter_mut().filter(|((name, ..), _)| *name == header.src.name);
+            let of_it = self.suspicions.iter_mut().filter(|((name, ..), _)| *name == header.src.name);
             of_it.for_each(|(_, answered)| *answered = true);
         }
         let namesake = header.src.name == self.own().name;
         if namesake && header.src.life != self.own().life {
             effects.push(Effect::Changed(Change::Twin(header.src.clone())));
         }
-        let said = Entry { member: header.src.clone(), incarnation: 0, standing: Standing::Alive };
-        self.own_name(entries.iter().chain(std::iter::once(&said)), &mut effects);
+        let entry = Entry { member: header.src.clone(), incarnation: 0, standing: Standing::Alive };
+        self.own_name(entries.iter().chain(std::iter::once(&entry)), &mut effects);
         if self.gone || namesake {
             return effects;
         }
-        self.run(&mut effects, |foca, wants| foca.handle_data(bytes, wants));
+        self.run(&mut effects, |foca, output| foca.handle_data(bytes, output));
         effects
     }
 
@@ -414,18 +423,18 @@
         }
         let Some(number) = other.member.number.checked_add(1) else { return };
         let fresh = Member { number, ..own };
-        self.run(effects, |foca, wants| foca.change_identity(fresh, wants));
+        self.run(effects, |foca, output| foca.change_identity(fresh, output));
     }
 
-    fn room_for(&self, entries: &[Entry]) -> bool {
+    fn has_capacity(&self, entries: &[Entry]) -> bool {
         let known = self.foca.iter_membership_state().len();
-        if known + entries.len() <= MOST {
+        if known + entries.len() <= MAX_MEMBERS {
             return true;
         }
         let names: std::collections::HashSet<&str> =
             self.foca.iter_membership_state().map(|member| &*member.id().name).collect();
         let fresh = entries.iter().filter(|entry| !names.contains(&*entry.member.name)).count();
-        known + fresh <= MOST
+        known + fresh <= MAX_MEMBERS
     }
 
     /// Takes the other's part of a comparison in; what to say back, if anything.
@@ -435,30 +444,32 @@
         if self.gone {
             return (effects, None);
         }
-        let back = match postcard::from_bytes(bytes) {
-            Ok(Compared::Digest(digest)) if digest == self.digest() => None,
-            Ok(Compared::Digest(_)) => {
-                self.counts.differed += 1;
-                Some(self.compared(&Compared::All(self.entries(), true)))
+        let reply = match postcard::from_bytes(bytes) {
+            Ok(Comparison::Digest(digest)) if digest == self.digest() => None,
+            Ok(Comparison::Digest(_)) => {
+                self.counters.differed += 1;
+                Some(self.encode_comparison(&Comparison::All(self.entries(), true)))
             }
-            Ok(Compared::All(entries, back)) if entries.len() <= MOST && self.room_for(&entries) => {
+            Ok(Comparison::All(entries, reply))
+                if entries.len() <= MAX_MEMBERS && self.has_capacity(&entries) =>
+            {
                 self.own_name(entries.iter(), &mut effects);
                 if self.gone {
                     return (effects, None);
                 }
                 let members = entries.into_iter().map(Entry::into_foca);
-                self.run(&mut effects, |foca, wants| foca.apply_many(members, true, wants));
-                back.then(|| self.compared(&Compared::All(self.entries(), false)))
+                self.run(&mut effects, |foca, output| foca.apply_many(members, true, output));
+                reply.then(|| self.encode_comparison(&Comparison::All(self.entries(), false)))
             }
             _ => {
-                self.counts.malformed += 1;
+                self.counters.malformed += 1;
                 None
             }
         };
-        (effects, back)
+        (effects, reply)
     }
 
-    fn compared(&self, what: &Compared) -> Vec<u8> {
+    fn encode_comparison(&self, what: &Comparison) -> Vec<u8> {
         // A list of plain values can always be written.
         postcard::to_stdvec(what).unwrap_or_default()
     }
@@ -481,21 +492,23 @@
         hasher.finish()
     }
 
-    /// Tells how busy this process is, in parts of a thousand, if that is news: every word goes to all, so all together say no
-    /// more than [`WORDS`] a second, however many they are. One that is not moved repeats itself seldom, for those who are new.
-    pub fn tell_load(&mut self, now: f64, load: u16) {
-        let apart = 1000.0 / WORDS * self.view.present.len() as f64;
-        let news = self.said.is_none_or(|(at, said)| {
-            now - at >= apart * REPEATED || now - at >= apart && load.abs_diff(said) >= NOTABLE
+    /// Reports how busy this process is, in parts of a thousand, if that is news: every report goes to all, so all together send no
+    /// more than [`LOAD_REPORTS_PER_SECOND`] a second, however many they are. One whose load does not change repeats it
+    /// seldom, for those who are new.
+    pub fn report_load(&mut self, now: f64, load: u16) {
+        let apart = 1000.0 / LOAD_REPORTS_PER_SECOND * self.view.present.len() as f64;
+        let news = self.last_report.is_none_or(|(at, reported)| {
+            now - at >= apart * REPEAT_INTERVALS
+                || now - at >= apart && load.abs_diff(reported) >= LOAD_CHANGE
         });
         if !news {
             return;
         }
-        self.said = Some((now, load));
+        self.last_report = Some((now, load));
         self.sequence = self.sequence.wrapping_add(1);
         let own = self.own();
-        let word = Word { name: own.name.clone(), number: own.number, sequence: self.sequence, load };
-        if let Ok(bytes) = postcard::to_stdvec(&word) {
+        let report = LoadReport { name: own.name.clone(), number: own.number, sequence: self.sequence, load };
+        if let Ok(bytes) = postcard::to_stdvec(&report) {
             // It is short and newer than the one before: it is always taken.
             let _ = self.foca.add_broadcast(&bytes);
         }
@@ -510,8 +523,8 @@
         }
         let own = self.own().clone();
         let leaving = Member { leaving: true, number: own.number.saturating_add(1), ..own };
-        self.run(&mut effects, |foca, wants| foca.change_identity(leaving, wants));
-        self.run(&mut effects, |foca, wants| foca.leave_cluster(wants));
+        self.run(&mut effects, |foca, output| foca.change_identity(leaving, output));
+        self.run(&mut effects, |foca, output| foca.leave_cluster(output));
         self.gone = true;
         effects
     }
@@ -520,24 +533,24 @@
     fn run(
         &mut self,
         effects: &mut Vec<Effect>,
-        act: impl FnOnce(&mut Foca<Member, Wire, StdRng, Loads>, &mut Wants) -> Result<(), foca::Error>,
+        act: impl FnOnce(&mut Foca<Member, Wire, StdRng, Loads>, &mut ProtocolOutput) -> Result<(), foca::Error>,
     ) {
-        let (mut wants, number) = (Wants::default(), self.own().number);
-        if let Err(error) = act(&mut self.foca, &mut wants) {
+        let (mut output, number) = (ProtocolOutput::default(), self.own().number);
+        if let Err(error) = act(&mut self.foca, &mut output) {
             use foca::Error::{CustomBroadcast, DataTooBig, Decode, IndirectForOurselves, MalformedPacket};
             if matches!(
                 error,
                 Decode(_) | DataTooBig | MalformedPacket | CustomBroadcast(_) | IndirectForOurselves
             ) {
-                self.counts.malformed += 1;
+                self.counters.malformed += 1;
             }
         }
-        for (to, bytes) in wants.send {
-            self.counts.sent += 1;
-            self.counts.sent_bytes += bytes.len() as u64;
+        for (to, bytes) in output.send {
+            self.counters.sent += 1;
+            self.counters.sent_bytes += bytes.len() as u64;
             effects.push(Effect::Send { to, bytes });
         }
-        for (timer, after) in wants.timers {
+        for (timer, after) in output.timers {
             // Who doubts itself gives others more time.
             let stretched = match timer {
                 Timer::ProbeRandomMember(_)
@@ -551,8 +564,8 @@
                 timer => self.set(after, Due::Foca(timer)),
             }
         }
-        for note in wants.notes {
-            self.note(note, effects);
+        for notice in output.notices {
+            self.apply_notice(notice, effects);
         }
         if self.own().number != number {
             let own = self.own().clone();
@@ -560,37 +573,37 @@
         }
     }
 
-    fn note(&mut self, note: Note, effects: &mut Vec<Effect>) {
-        let change = match note {
-            Note::Up(member) => {
+    fn apply_notice(&mut self, notice: Notice, effects: &mut Vec<Effect>) {
+        let change = match notice {
+            Notice::Up(member) => {
                 self.view.failed.remove(&member.name);
                 self.view.present.insert(member.name.clone(), member.clone());
                 Change::Up(member)
             }
             // One that is active under a new number: it started anew before anybody missed it.
-            Note::Renamed(member) => match self.view.present.get_mut(&member.name) {
+            Notice::Renamed(member) => match self.view.present.get_mut(&member.name) {
                 Some(known) if !member.leaving => {
                     *known = member.clone();
                     Change::Up(member)
                 }
                 _ => return,
             },
-            Note::Down(member) => {
-                self.doubted.retain(|(name, ..), _| *name != member.name);
+            Notice::Down(member) => {
+                self.suspicions.retain(|(name, ..), _| *name != member.name);
                 if self.view.present.remove(&member.name).is_none() {
                     return;
                 }
                 if member.leaving {
-                    self.counts.left += 1;
+                    self.counters.left += 1;
                     Change::Left(member)
                 } else {
-                    self.counts.failed += 1;
+                    self.counters.failed += 1;
                     self.view.failed.insert(member.name.clone(), (member.clone(), self.last));
                     Change::Failed(member)
                 }
             }
-            Note::Returned => {
-                self.counts.returned += 1;
+            Notice::Returned => {
+                self.counters.returned += 1;
                 return;
             }
         };
@@ -598,8 +611,8 @@
         effects.push(Effect::Changed(change));
         // News may have missed this process: once it had time to reach all, what others know is compared soon.
         let soon = self.times.settled_news();
-        if self.calm > soon {
-            self.calm = soon;
+        if self.compare_interval > soon {
+            self.compare_interval = soon;
             self.set_compare();
         }
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,13 +8,17 @@
 #![warn(missing_docs)]
 
 mod core;
+mod counters;
+mod effect;
 mod load;
 mod member;
 pub mod sim;
 mod times;
-mod told;
+mod view;
 
 pub use self::core::Membership;
+pub use counters::Counters;
+pub use effect::{Change, Effect};
 pub use member::{Entry, Member, Standing, WireError, LONGEST_NAME, LONGEST_ZONE};
 pub use times::{Times, GREATEST_DATAGRAM};
-pub use told::{Change, Counts, Effect, View};
+pub use view::View;
--- a/crates/membership/src/load.rs
+++ b/crates/membership/src/load.rs
@@ -1,31 +1,31 @@
-//! What members tell of how busy they are. It changes too often to be part of who a member is.
+//! What members report of how busy they are. It changes too often to be part of who a member is.
 
-use crate::member::{Name, LONGEST_NAME, MOST};
+use crate::member::{Name, LONGEST_NAME, MAX_MEMBERS};
 use foca::{BroadcastHandler, Invalidates};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// One member's word on its load.
+/// A member's report of its load.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Word {
+pub(crate) struct LoadReport {
     pub name: Name,
     pub number: u64,
-    /// Grows with each word.
+    /// Grows with each report.
     pub sequence: u32,
     /// Parts of a thousand of what it can bear.
     pub load: u16,
 }
 
-impl Word {
-    fn newer(&self, than: &Word) -> bool {
+impl LoadReport {
+    fn newer(&self, than: &LoadReport) -> bool {
         (self.number, self.sequence) > (than.number, than.sequence)
     }
 }
 
-/// By which a later word takes the place of an earlier one on its way.
-pub(crate) struct Key(Word);
+/// By which a later report takes the place of an earlier one that is still being spread.
+pub(crate) struct Key(LoadReport);
 
 impl Invalidates for Key {
     fn invalidates(&self, other: &Key) -> bool {
@@ -33,14 +33,14 @@
     }
 }
 
-/// The last word of each. The protocol holds one handle and who asks for loads another.
+/// The last report of each. The protocol holds one handle and who asks for loads another.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Loads(Rc<RefCell<BTreeMap<Name, Word>>>);
+pub(crate) struct Loads(Rc<RefCell<BTreeMap<Name, LoadReport>>>);
 
 impl Loads {
-    /// What a member last said.
+    /// What a member last reported.
     pub fn of(&self, name: &str) -> Option<u16> {
-        self.0.borrow().get(name).map(|word| word.load)
+        self.0.borrow().get(name).map(|report| report.load)
     }
 }
 
@@ -49,14 +49,17 @@
     type Error = postcard::Error;
 
     fn receive_item(&mut self, data: &[u8], _sender: Option<&T>) -> Result<Option<Key>, postcard::Error> {
-        let word: Word = postcard::from_bytes(data)?;
-        let mut words = self.0.borrow_mut();
-        let known = words.get(&word.name);
-        let room = known.is_some() || words.len() < MOST;
-        if !room || word.name.len() > LONGEST_NAME || known.is_some_and(|known| !word.newer(known)) {
+        let report: LoadReport = postcard::from_bytes(data)?;
+        let mut reports = self.0.borrow_mut();
+        let known = reports.get(&report.name);
+        let has_capacity = known.is_some() || reports.len() < MAX_MEMBERS;
+        if !has_capacity
+            || report.name.len() > LONGEST_NAME
+            || known.is_some_and(|known| !report.newer(known))
+        {
             return Ok(None);
         }
-        words.insert(word.name.clone(), word.clone());
-        Ok(Some(Key(word)))
+        reports.insert(report.name.clone(), report.clone());
+        Ok(Some(Key(report)))
     }
 }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 /// Members of whom something is kept at most, gone ones included. Whoever names more is not listened to.
-pub(crate) const MOST: usize = 4096;
+pub(crate) const MAX_MEMBERS: usize = 4096;
 /// Longest name of a member, bytes.
 pub const LONGEST_NAME: usize = 64;
 /// Longest name of a zone, bytes.
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -4,9 +4,10 @@
 //! cut by what stands between two members; a member can be killed, stopped, started anew or slowed.
 
 use crate::core::Membership;
+use crate::counters::Counters;
+use crate::effect::{Change, Effect};
 use crate::member::Member;
 use crate::times::Times;
-use crate::told::{Change, Counts, Effect};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -48,7 +49,7 @@
 struct Seat {
     member: Option<Membership>,
     /// What was counted in its earlier lives.
-    before: Counts,
+    before: Counters,
     /// Until when it stands still; what comes meanwhile waits.
     stopped: Option<f64>,
     waiting: Vec<What>,
@@ -121,7 +122,12 @@
             damaged: 0,
             clock_ahead: 0.0,
             seats: (0..count)
-                .map(|_| Seat { member: None, before: Counts::default(), stopped: None, waiting: Vec::new() })
+                .map(|_| Seat {
+                    member: None,
+                    before: Counters::default(),
+                    stopped: None,
+                    waiting: Vec::new(),
+                })
                 .collect(),
             names: (0..count).map(|seat| format!("n{seat}")).collect(),
             told,
@@ -176,9 +182,9 @@
     /// Kills a member.
     pub fn kill(&mut self, seat: usize) {
         if let Some(member) = self.seats[seat].member.take() {
-            let (counts, before) = (member.counts(), &mut self.seats[seat].before);
-            before.sent += counts.sent;
-            before.sent_bytes += counts.sent_bytes;
+            let (counters, before) = (member.counters(), &mut self.seats[seat].before);
+            before.sent += counters.sent;
+            before.sent_bytes += counters.sent_bytes;
         }
     }
 
@@ -235,7 +241,7 @@
 
     /// Datagrams and their bytes that all have sent.
     pub fn sent(&self) -> (u64, u64) {
-        let now = |seat: &Seat| seat.member.as_ref().map(Membership::counts).unwrap_or_default();
+        let now = |seat: &Seat| seat.member.as_ref().map(Membership::counters).unwrap_or_default();
         self.seats.iter().fold((0, 0), |(sent, bytes), seat| {
             (sent + seat.before.sent + now(seat).sent, bytes + seat.before.sent_bytes + now(seat).sent_bytes)
         })
@@ -245,7 +251,7 @@
     pub fn tell_load(&mut self, seat: usize, load: u16) {
         let now = self.now;
         if let Some(member) = &mut self.seats[seat].member {
-            member.tell_load(now, load);
+            member.report_load(now, load);
         }
     }
 
--- a/crates/membership/tests/cases.rs
+++ b/crates/membership/tests/cases.rs
@@ -98,7 +98,7 @@
         .filter(|seen| seen.by == 4 && seen.at >= begun && matches!(&seen.change, Change::Failed(_)));
     assert_eq!(by_it.count(), 0, "it took others for dead");
     let member = sim.member(4).expect("it runs");
-    assert!(member.counts().held_up >= 1 && member.counts().returned >= 1, "{:?}", member.counts());
+    assert!(member.counters().held_up >= 1 && member.counters().returned >= 1, "{:?}", member.counters());
 }
 
 /// Guards healing: thirds that took each other for dead find each other again, by themselves.
@@ -199,9 +199,9 @@
             member.compare(at as f64, bytes);
             member.tick(at as f64);
         }
-        let counts = member.counts();
-        prop_assert_eq!(counts.heard, datagrams.len() as u64);
-        prop_assert!(counts.malformed >= datagrams.len() as u64);
+        let counters = member.counters();
+        prop_assert_eq!(counters.heard, datagrams.len() as u64);
+        prop_assert!(counters.malformed >= datagrams.len() as u64);
         prop_assert_eq!(member.view().present.len(), 1);
     }
 }
--- a/src/net/fleet/membership.rs
+++ b/src/net/fleet/membership.rs
@@ -179,7 +179,7 @@
 
     /// Lets the others know how busy this one is.
     pub fn report_load(&self, load: u16) {
-        self.membership.borrow_mut().tell_load(self.clock.now(), load);
+        self.membership.borrow_mut().report_load(self.clock.now(), load);
     }
 
     /// Tells the others that this one goes.
@@ -198,7 +198,7 @@
                 .collect::<BTreeMap<_, _>>(),
             "failed": view.failed.keys().map(|name| &**name).collect::<Vec<_>>(),
             "revision": view.revision, "reachable": view.reachable(), "doubt": membership.self_doubt(),
-            "gone": membership.gone(), "number": membership.own().number, "counts": membership.counts(),
+            "gone": membership.gone(), "number": membership.own().number, "counts": membership.counters(),
         })
     }
 }
