Name the events, requests and backends of the simulated world as usual

Need: what, due, asked, node, press, come, back and the like needed explaining, and the ends of a request were bare numbers.

Change: private names below `world` only: `SimEvent` and a queue of `Scheduled` ones, `ClientRequest`, `Backend`, `FrontDoor`; `schedule`, `dispatch`, `settle`, `finish`, `transmit`, `record_load` and so on; an enum for the ends.

--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -17,12 +17,12 @@
 use crate::scenario::Spec;
 use crate::tally::Tally;
 use attempts::Call;
-use backends::Node;
-use clients::Asked;
+use backends::Backend;
+use clients::ClientRequest;
 use cometspool::{Availability, BackendId, Event, Gateway, ListKind, Millis};
-use doors::{door_settings, DoorModel};
+use doors::{door_settings, FrontDoor};
 use links::Link;
-use schedule::{Due, What};
+use schedule::{Scheduled, SimEvent};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -31,11 +31,11 @@
     spec: Spec,
     now: Millis,
     order: u64,
-    due: BinaryHeap<Reverse<Due>>,
-    doors: Vec<DoorModel>,
-    nodes: Vec<Node>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    doors: Vec<FrontDoor>,
+    backends: Vec<Backend>,
     by_id: BTreeMap<BackendId, usize>,
-    asked: Vec<Asked>,
+    requests: Vec<ClientRequest>,
     calls: Vec<Call>,
     cut: BTreeMap<u32, bool>,
     chance: Chance,
@@ -47,11 +47,11 @@
 /// Plays a day and tells what it gave.
 pub fn play(spec: Spec) -> Tally {
     let mut world = World::new(spec);
-    while let Some(Reverse(due)) = world.due.pop() {
+    while let Some(Reverse(due)) = world.queue.pop() {
         world.now = due.at;
-        world.happen(due.what);
+        world.dispatch(due.event);
     }
-    world.close()
+    world.into_tally()
 }
 
 impl World {
@@ -63,17 +63,17 @@
                 let zone = me % spec.zones;
                 let settings = door_settings(&spec, me, zone);
                 let seed = u64::from(chance.word());
-                DoorModel { gateway: Gateway::new(settings, seed), zone, pool: Pool::new(gateways, seed) }
+                FrontDoor { gateway: Gateway::new(settings, seed), zone, pool: Pool::new(gateways, seed) }
             })
             .collect();
         let mut world = World {
             now: 0.0,
             order: 0,
-            due: BinaryHeap::new(),
+            queue: BinaryHeap::new(),
             doors,
-            nodes: Vec::new(),
+            backends: Vec::new(),
             by_id: BTreeMap::new(),
-            asked: Vec::new(),
+            requests: Vec::new(),
             calls: Vec::new(),
             cut: BTreeMap::new(),
             chance,
@@ -83,9 +83,9 @@
             spec,
         };
         for spec in world.spec.backends.clone() {
-            world.add(spec);
+            world.add_backend(spec);
         }
-        let list: Vec<_> = (0..world.nodes.len()).filter(|i| world.nodes[*i].spec.listed).collect();
+        let list: Vec<_> = (0..world.backends.len()).filter(|i| world.backends[*i].spec.listed).collect();
         let list: Vec<_> = list.into_iter().map(|i| world.entry(i, Availability::Ready)).collect();
         for door in 0..world.doors.len() {
             let mut actions = Vec::new();
@@ -98,10 +98,10 @@
             let first = world.chance.exponential(1000.0 / world.spec.rate);
             if world.spec.table.is_some() {
                 let at = 500.0 * world.chance.even();
-                world.at(at, What::Tidy(door));
+                world.schedule(at, SimEvent::Tidy(door));
             }
             if world.spec.crowd.is_none() {
-                world.at(first, What::Arrive(door));
+                world.schedule(first, SimEvent::Arrive(door));
             }
         }
         if let Some(spec) = world.spec.crowd.clone() {
@@ -112,7 +112,7 @@
             (0..customers).for_each(|customer| world.ask_next(customer));
         }
         for fault in 0..world.spec.faults.len() {
-            world.at(world.spec.faults[fault].0, What::Fault(fault));
+            world.schedule(world.spec.faults[fault].0, SimEvent::Fault(fault));
         }
         world
     }
--- a/crates/fleet/src/world/attempts.rs
+++ b/crates/fleet/src/world/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts of front doors at backends, and the calls that backends make below them.
 
-use super::schedule::What;
+use super::clients::End;
+use super::schedule::SimEvent;
 use super::World;
 use crate::scenario::Ill;
 use cometspool::{BackendId, Event, Millis, Outcome, Report, RequestId, Settled};
@@ -28,7 +29,7 @@
 
 impl World {
     pub(super) fn send(&mut self, door: usize, request: u32, to: BackendId, limit: Option<Millis>) {
-        let asked = &mut self.asked[request as usize];
+        let asked = &mut self.requests[request as usize];
         let number = asked.sends;
         asked.sends += 1;
         // Its client's own time, or what a front door that stood still takes for it, ends it; the latter when it is told.
@@ -36,25 +37,26 @@
         let work = asked.work;
         let backend = self.by_id[&to];
         let call = self.calls.len();
-        self.asked[request as usize].out.push(call);
-        let (worth, customer, now) = (self.worth(request), self.asked[request as usize].customer, self.now);
+        self.requests[request as usize].out.push(call);
+        let (worth, customer, now) =
+            (self.worth(request), self.requests[request as usize].customer, self.now);
         if let Some(crowd) = &mut self.crowd {
             if number == 0 {
-                self.asked[request as usize].inside = crowd.sent_on(customer, now, worth);
+                self.requests[request as usize].inside = crowd.sent_on(customer, now, worth);
             }
             crowd.all[customer].out += 1;
         }
-        let way = self.way(self.doors[door].zone, self.nodes[backend].spec.zone);
-        let until = self.now + limit - if self.spec.tells_less { way } else { 0.0 };
+        let delay = self.one_way_delay(self.doors[door].zone, self.backends[backend].spec.zone);
+        let until = self.now + limit - if self.spec.tells_less { delay } else { 0.0 };
         self.tally.sends += 1;
         if number == 0 {
             self.tally.firsts += 1;
-            let bad = self.bad(door, backend);
-            let _ = self.second();
+            let impaired = self.is_impaired(door, backend);
+            let _ = self.current_second();
             let entry = self.tally.to_ill.last_mut().expect("a second");
-            *entry = (entry.0 + 1, entry.1 + u64::from(bad));
+            *entry = (entry.0 + 1, entry.1 + u64::from(impaired));
         }
-        if self.doors[door].zone != self.nodes[backend].spec.zone {
+        if self.doors[door].zone != self.backends[backend].spec.zone {
             self.tally.crossings += 1;
         }
         self.call(request, Ok((door, number)), backend, until, work);
@@ -62,11 +64,11 @@
         let sent = &mut self.tally.sent_to[backend];
         sent.resize(sent.len().max(second + 1), 0);
         sent[second] += 1;
-        self.at(self.now + limit, What::TimeOut(call));
+        self.schedule(self.now + limit, SimEvent::TimeOut(call));
         if self.spec.table.is_some() {
             self.take_link(call);
         } else {
-            self.set_out(call);
+            self.transmit(call);
         }
     }
 
@@ -79,7 +81,7 @@
         until: Millis,
         work: f64,
     ) {
-        self.asked[request as usize].calls.push(self.calls.len());
+        self.requests[request as usize].calls.push(self.calls.len());
         self.calls.push(Call {
             request,
             from,
@@ -97,25 +99,25 @@
     }
 
     /// An attempt goes out, on its link if these are modelled.
-    pub(super) fn set_out(&mut self, call: usize) {
+    pub(super) fn transmit(&mut self, call: usize) {
         let (Ok((door, _)), backend) = (self.calls[call].from, self.calls[call].backend) else { return };
-        let way = self.way(self.doors[door].zone, self.nodes[backend].spec.zone);
-        if !self.reaches(self.doors[door].zone, self.nodes[backend].spec.zone) {
+        let delay = self.one_way_delay(self.doors[door].zone, self.backends[backend].spec.zone);
+        if !self.reaches(self.doors[door].zone, self.backends[backend].spec.zone) {
             return;
         }
-        match self.nodes[backend].spec.ill {
-            Ill::Dead => self.at(self.now + 2.0 * way, What::Back(call, Outcome::ConnectFailed)),
+        match self.backends[backend].spec.ill {
+            Ill::Dead => self.schedule(self.now + 2.0 * delay, SimEvent::Back(call, Outcome::ConnectFailed)),
             Ill::Silent => {}
-            _ => self.at(self.now + way, What::Begin(call)),
+            _ => self.schedule(self.now + delay, SimEvent::Begin(call)),
         }
     }
 
     /// An attempt of a front door ends for it, or a call for the backend that made it.
-    pub(super) fn back(&mut self, call: usize, outcome: Outcome) {
+    pub(super) fn settle(&mut self, call: usize, outcome: Outcome) {
         if std::mem::replace(&mut self.calls[call].settled, true) {
             return;
         }
-        self.let_go(call, outcome);
+        self.abandon(call, outcome);
         self.leave_link(call, outcome);
         let (request, backend, sent) =
             (self.calls[call].request, self.calls[call].backend, self.calls[call].sent);
@@ -123,13 +125,13 @@
             Ok(from) => from,
             Err(above) => {
                 // The backend above answers with what it got, and has its core back.
-                self.free(self.calls[above].backend);
+                self.release_core(self.calls[above].backend);
                 let outcome = if outcome == Outcome::Ok { Outcome::Ok } else { Outcome::Error };
                 self.answer(above, outcome);
                 return;
             }
         };
-        let asked = &mut self.asked[request as usize];
+        let asked = &mut self.requests[request as usize];
         let customer = asked.customer;
         let told = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
         let (now, mut use_of_quota) = (self.now, None);
@@ -140,13 +142,13 @@
         asked.out.retain(|out| *out != call);
         asked.first_ok.get_or_insert(outcome == Outcome::Ok);
         if outcome == Outcome::Ok {
-            self.answered(request, 0);
+            self.finish(request, End::Served);
         }
-        let closed = self.asked[request as usize].answered;
+        let closed = self.requests[request as usize].answered;
         let settled = Settled {
             request: RequestId(request),
             attempt: number,
-            backend: self.nodes[backend].id,
+            backend: self.backends[backend].id,
             outcome,
             elapsed: self.now - sent,
             closed,
@@ -155,14 +157,14 @@
             report: Report::default(),
             broken: 0,
         };
-        self.tell(door, Event::Settled(settled));
+        self.notify_door(door, Event::Settled(settled));
     }
 
     /// Whoever gave an attempt up closes its connection: what still waits for a core is dropped.
-    fn let_go(&mut self, call: usize, outcome: Outcome) {
+    fn abandon(&mut self, call: usize, outcome: Outcome) {
         if matches!(outcome, Outcome::Timeout | Outcome::Cancelled) {
             let backend = self.calls[call].backend;
-            self.nodes[backend].waiting.retain(|waiting| *waiting != call);
+            self.backends[backend].waiting.retain(|waiting| *waiting != call);
         }
     }
 }
--- a/crates/fleet/src/world/doors.rs
+++ b/crates/fleet/src/world/doors.rs
@@ -1,13 +1,14 @@
 //! The front doors: events go into their gateways, and actions that come back are carried out.
 
-use super::schedule::What;
+use super::clients::End;
+use super::schedule::SimEvent;
 use super::World;
 use crate::pooling::Pool;
 use crate::scenario::{Ill, Spec};
 use cometspool::{Action, Availability, BackendId, Event, Gateway, ListKind, Outcome, Settings, ZoneId};
 
 /// A front door: the module as it serves, and the model of its pool of links.
-pub(super) struct DoorModel {
+pub(super) struct FrontDoor {
     pub(super) gateway: Gateway,
     pub(super) zone: u32,
     pub(super) pool: Pool,
@@ -20,7 +21,7 @@
 }
 
 impl World {
-    pub(super) fn tell(&mut self, door: usize, event: Event) {
+    pub(super) fn notify_door(&mut self, door: usize, event: Event) {
         let mut actions = Vec::new();
         self.doors[door].gateway.handle(self.now, event, &mut actions);
         self.carry_out(door, actions);
@@ -38,19 +39,21 @@
                 Action::Refuse { request, retry_after } => {
                     self.refused(request.0, retry_after, String::new());
                 }
-                Action::Fail(request) => self.answered(request.0, 2),
+                Action::Fail(request) => self.finish(request.0, End::Failed),
                 Action::CallOff { request, attempt } => {
-                    let out = &self.asked[request.0 as usize].out;
+                    let out = &self.requests[request.0 as usize].out;
                     let is = |call: &&usize| matches!(self.calls[**call].from, Ok((_, n)) if n == attempt);
                     if let Some(call) = out.iter().find(is).copied() {
-                        self.back(call, Outcome::Cancelled);
+                        self.settle(call, Outcome::Cancelled);
                     }
                 }
-                Action::SetAlarm { at, alarm } => self.at(at.max(self.now), What::Alarm(door, alarm)),
+                Action::SetAlarm { at, alarm } => {
+                    self.schedule(at.max(self.now), SimEvent::Alarm(door, alarm))
+                }
                 Action::Log(text) if text.contains("set aside") => {
                     let word = text.split(' ').nth(1).and_then(|id| id.parse().ok());
                     let backend = word.and_then(|id| self.by_id.get(&BackendId(id))).copied();
-                    let ill = backend.is_some_and(|backend| self.bad(door, backend));
+                    let ill = backend.is_some_and(|backend| self.is_impaired(door, backend));
                     self.tally.set_aside[usize::from(ill)] += 1;
                 }
                 Action::CloseIdle(backend) => {
@@ -71,9 +74,10 @@
     pub(super) fn restart(&mut self, door: usize) {
         let (zone, seed) = (self.doors[door].zone, u64::from(self.chance.word()));
         self.doors[door].gateway = Gateway::new(door_settings(&self.spec, door as u32, zone), seed);
-        let up = |node: &usize| self.nodes[*node].spec.listed && self.nodes[*node].spec.ill != Ill::Dead;
-        let up: Vec<usize> = (0..self.nodes.len()).filter(up).collect();
+        let up =
+            |node: &usize| self.backends[*node].spec.listed && self.backends[*node].spec.ill != Ill::Dead;
+        let up: Vec<usize> = (0..self.backends.len()).filter(up).collect();
         let list = up.into_iter().map(|node| self.entry(node, Availability::Ready)).collect();
-        self.tell(door, Event::Backends(ListKind::Cached, list));
+        self.notify_door(door, Event::Backends(ListKind::Cached, list));
     }
 }
--- a/crates/fleet/src/world/faults.rs
+++ b/crates/fleet/src/world/faults.rs
@@ -1,41 +1,41 @@
 //! The faults of a scenario, and how the front doors hear of a state of a backend.
 
-use super::schedule::What;
+use super::schedule::SimEvent;
 use super::World;
 use crate::scenario::{BackendSpec, Fault, Ill};
 use cometspool::Availability;
 
 impl World {
-    pub(super) fn fault(&mut self, fault: usize) {
+    pub(super) fn inject_fault(&mut self, fault: usize) {
         match self.spec.faults[fault].1.clone() {
             Fault::Ill(node, ill) => {
-                self.nodes[node].spec.ill = ill;
+                self.backends[node].spec.ill = ill;
                 if ill == Ill::Dead {
                     self.reset_links(node);
                     self.tally.lives[node].1 = self.now;
-                    self.nodes[node].waiting.clear();
+                    self.backends[node].waiting.clear();
                 }
             }
             Fault::Cut(zone, cut) => {
                 self.cut.insert(zone, cut);
             }
-            Fault::Told(node, state) => self.spread(node, state),
+            Fault::Told(node, state) => self.announce(node, state),
             Fault::Restart(door) => self.restart(door),
             Fault::Start(node) => {
                 let spec =
-                    BackendSpec { started: Some(self.now), ill: Ill::No, ..self.nodes[node].spec.clone() };
-                let fresh = self.add(spec);
-                self.spread(fresh, Availability::Ready);
+                    BackendSpec { started: Some(self.now), ill: Ill::No, ..self.backends[node].spec.clone() };
+                let fresh = self.add_backend(spec);
+                self.announce(fresh, Availability::Ready);
             }
         }
     }
 
     /// All front doors hear of a state of a backend within the next half second.
-    fn spread(&mut self, node: usize, state: Availability) {
+    fn announce(&mut self, node: usize, state: Availability) {
         let entry = self.entry(node, state);
         for door in 0..self.doors.len() {
             let at = self.now + 500.0 * self.chance.even();
-            self.at(at, What::Told(door, vec![entry]));
+            self.schedule(at, SimEvent::Told(door, vec![entry]));
         }
     }
 }
--- a/crates/fleet/src/world/figures.rs
+++ b/crates/fleet/src/world/figures.rs
@@ -1,11 +1,11 @@
 //! The sums of a run: worth by second, and at the end the work that was of use and that which was wasted.
 
-use super::clients::Asked;
+use super::clients::ClientRequest;
 use super::World;
 use crate::tally::Tally;
 
 impl World {
-    pub(super) fn second(&mut self) -> &mut (f64, f64) {
+    pub(super) fn current_second(&mut self) -> &mut (f64, f64) {
         let second = (self.now / 1000.0) as usize;
         if self.tally.by_second.len() <= second {
             self.tally.by_second.resize(second + 1, (0.0, 0.0));
@@ -14,11 +14,11 @@
         &mut self.tally.by_second[second]
     }
 
-    pub(super) fn close(mut self) -> Tally {
+    pub(super) fn into_tally(mut self) -> Tally {
         if let Some(crowd) = &self.crowd {
             self.tally.ledger = crowd.ledger.clone();
         }
-        for asked in &self.asked {
+        for asked in &self.requests {
             let mut done = 0.0;
             for call in &asked.calls {
                 done += self.calls[*call].done;
@@ -33,7 +33,7 @@
     }
 
     /// Work on the way to the first attempt that came to its end: its own and what it called.
-    fn useful(&self, asked: &Asked) -> f64 {
+    fn useful(&self, asked: &ClientRequest) -> f64 {
         let best = asked.calls.iter().filter(|call| self.calls[**call].from.is_ok());
         let chain = |call: usize| -> f64 {
             let mut sum = self.calls[call].done;
--- a/crates/fleet/src/world/links.rs
+++ b/crates/fleet/src/world/links.rs
@@ -1,6 +1,6 @@
 //! The links between front doors and backends: dials, handshakes and ends.
 
-use super::schedule::What;
+use super::schedule::SimEvent;
 use super::World;
 use crate::pooling::{Act, Dialled, Got, Pool};
 use crate::scenario::Ill;
@@ -34,14 +34,14 @@
                 Act::Give(call, link) => {
                     self.calls[call].waits = false;
                     self.calls[call].link = Some(link);
-                    self.set_out(call);
+                    self.transmit(call);
                 }
                 Act::Fail(call, full) => {
                     self.calls[call].waits = false;
-                    self.back(call, if full { Outcome::Full } else { Outcome::ConnectFailed });
+                    self.settle(call, if full { Outcome::Full } else { Outcome::ConnectFailed });
                 }
                 Act::Close(link) => self.close_link(link),
-                Act::Wake(backend, at) => self.at(at, What::Wake(door, backend)),
+                Act::Wake(backend, at) => self.schedule(at, SimEvent::Wake(door, backend)),
             }
         }
         told
@@ -49,7 +49,7 @@
 
     pub(super) fn take_link(&mut self, call: usize) {
         let (Ok((door, _)), backend) = (self.calls[call].from, self.calls[call].backend) else { return };
-        let class = self.asked[self.calls[call].request as usize].class;
+        let class = self.requests[self.calls[call].request as usize].class;
         let once = self.spec.classes[class].class.effect == Effect::Unsafe;
         loop {
             match self.pool(door, |pool, now, acts| pool.take(now, backend, call, once, acts)) {
@@ -59,19 +59,19 @@
                 }
                 Got::Kept(link) => {
                     self.calls[call].link = Some(link);
-                    self.set_out(call);
+                    self.transmit(call);
                     return;
                 }
                 Got::Waits => {
                     // It may have been given one, or none, by what came of asking.
                     if self.calls[call].link.is_none() && !self.calls[call].settled {
                         self.calls[call].waits = true;
-                        self.at(self.now + DIAL_TIMEOUT, What::Waited(call));
+                        self.schedule(self.now + DIAL_TIMEOUT, SimEvent::Waited(call));
                     }
                     return;
                 }
                 Got::NoRoom => {
-                    self.back(call, Outcome::NotSent);
+                    self.settle(call, Outcome::NotSent);
                     return;
                 }
             }
@@ -84,21 +84,22 @@
         let by_second = &mut self.tally.dials_by_second;
         by_second.resize(by_second.len().max(second + 1), 0);
         by_second[second] += 1;
-        let (from, to) = (self.doors[door].zone, self.nodes[backend].spec.zone);
-        let silent = !self.reaches(from, to) || self.nodes[backend].spec.ill == Ill::Silent;
-        let (takes, answered) = if silent { (DIAL_TIMEOUT, false) } else { (2.0 * self.way(from, to), true) };
-        self.at(self.now + takes, What::Dialled(door, backend, call, answered));
+        let (from, to) = (self.doors[door].zone, self.backends[backend].spec.zone);
+        let silent = !self.reaches(from, to) || self.backends[backend].spec.ill == Ill::Silent;
+        let (takes, answered) =
+            if silent { (DIAL_TIMEOUT, false) } else { (2.0 * self.one_way_delay(from, to), true) };
+        self.schedule(self.now + takes, SimEvent::Dialled(door, backend, call, answered));
     }
 
     pub(super) fn dialled(&mut self, door: usize, backend: usize, call: Option<usize>, answered: bool) {
-        let node = &self.nodes[backend];
+        let node = &self.backends[backend];
         let full = self.spec.table.is_some_and(|table| node.links >= table);
         let up = answered && node.spec.ill != Ill::Dead && !full;
         let how = if up {
-            self.press(backend, HANDSHAKE);
-            self.nodes[backend].links += 1;
+            self.record_load(backend, HANDSHAKE);
+            self.backends[backend].links += 1;
             let peak = &mut self.tally.peaks[backend];
-            *peak = (*peak).max(self.nodes[backend].links);
+            *peak = (*peak).max(self.backends[backend].links);
             self.links.push(Link { backend, open: true, reset: false });
             Dialled::Up(self.links.len() as u64 - 1)
         } else {
@@ -111,7 +112,7 @@
     fn close_link(&mut self, link: u64) {
         let link = &mut self.links[link as usize];
         if std::mem::replace(&mut link.open, false) {
-            let node = &mut self.nodes[link.backend];
+            let node = &mut self.backends[link.backend];
             node.links = node.links.saturating_sub(1);
         }
     }
@@ -121,7 +122,7 @@
         for link in self.links.iter_mut().filter(|link| link.backend == backend) {
             (link.open, link.reset) = (false, true);
         }
-        self.nodes[backend].links = 0;
+        self.backends[backend].links = 0;
     }
 
     /// An attempt is over for its front door: its link is free again, or goes with it.
--- a/crates/fleet/src/world/network.rs
+++ b/crates/fleet/src/world/network.rs
@@ -4,7 +4,7 @@
 use cometspool::Millis;
 
 impl World {
-    pub(super) fn way(&self, from: u32, to: u32) -> Millis {
+    pub(super) fn one_way_delay(&self, from: u32, to: u32) -> Millis {
         if from == to {
             self.spec.way.0
         } else {
--- a/crates/fleet/src/world/schedule.rs
+++ b/crates/fleet/src/world/schedule.rs
@@ -6,7 +6,7 @@
 
 /// Something that happens at a set time.
 #[derive(Clone, Debug)]
-pub(super) enum What {
+pub(super) enum SimEvent {
     Arrive(usize),
     /// A customer's next request is due, or its rate changes.
     Ask(usize, bool),
@@ -36,35 +36,35 @@
 }
 
 /// An entry of the heap.
-pub(super) struct Due {
+pub(super) struct Scheduled {
     pub(super) at: Millis,
     pub(super) order: u64,
-    pub(super) what: What,
+    pub(super) event: SimEvent,
 }
 
-impl Ord for Due {
+impl Ord for Scheduled {
     fn cmp(&self, other: &Self) -> Ordering {
         self.at.total_cmp(&other.at).then(self.order.cmp(&other.order))
     }
 }
 
-impl PartialOrd for Due {
+impl PartialOrd for Scheduled {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl PartialEq for Due {
+impl PartialEq for Scheduled {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other) == Ordering::Equal
     }
 }
 
-impl Eq for Due {}
+impl Eq for Scheduled {}
 
 impl World {
-    pub(super) fn at(&mut self, at: Millis, what: What) {
+    pub(super) fn schedule(&mut self, at: Millis, event: SimEvent) {
         self.order += 1;
-        self.due.push(Reverse(Due { at, order: self.order, what }));
+        self.queue.push(Reverse(Scheduled { at, order: self.order, event }));
     }
 }
