--- a/src/net/fleet/peers.rs
+++ b/src/net/fleet/transport/tests.rs
@@ -1,20 +1,23 @@
-//! The way against peers that a test plays by hand, on loopback.
+//! The transport against peers that a test plays by hand, on loopback.
 
-use super::super::block::Raw;
-use super::super::frame::VERSION;
+use super::handshake::Hello;
 use super::*;
+use crate::net::fleet::frame::{encode_body, VERSION};
 use serde_json::json;
 use std::future::Future;
-use tokio::io::AsyncReadExt;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
 
 /// A wide limit for what has to come about.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// A way called `own` with quick beats, small queues and few links, and what came on it.
-async fn way(
+/// A transport called `own` with quick heartbeats, small queues and few links, and what came on it.
+async fn transport(
     own: &str,
     peers: &[(&str, SocketAddr)],
-) -> (Rc<Way>, SocketAddr, Rc<RefCell<Vec<(String, usize)>>>) {
+) -> (Rc<Transport>, SocketAddr, Rc<RefCell<Vec<(String, usize)>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let at = listener.local_addr().expect("an address");
     let peers: Vec<_> =
@@ -23,13 +26,15 @@
         "name": "f", "listen": at.to_string(), "peers": peers, "links": 2, "accepted": 3, "beat_ms": 50,
         "queue_bytes": 600_000, "hello_ms": 500,
     });
-    let block = serde_json::from_value::<Raw>(raw).expect("a block").check(own).expect("a sound block");
-    let way = Way::new(block, u64::from(own.as_bytes()[0]));
+    let section = FleetSection::parse(&raw, own).expect("a sound section");
+    let transport = Transport::new(section, u64::from(own.as_bytes()[0]));
     let came: Rc<RefCell<Vec<(String, usize)>>> = Rc::default();
     let taken = came.clone();
-    way.take(Rc::new(move |from, frame| taken.borrow_mut().push((from.to_owned(), frame.body().len()))));
-    tokio::task::spawn_local(way.clone().accept(listener));
-    (way, at, came)
+    transport.set_handler(Rc::new(move |from, frame| {
+        taken.borrow_mut().push((from.to_owned(), frame.body().len()))
+    }));
+    tokio::task::spawn_local(transport.clone().accept(listener));
+    (transport, at, came)
 }
 
 fn played(test: impl Future<Output = ()>) {
@@ -46,10 +51,13 @@
 }
 
 /// A peer played by hand that greets as it should.
-async fn greet(at: SocketAddr, seal: Seal, name: &str, to: &str) -> TcpStream {
+async fn greet(at: SocketAddr, codec: FrameCodec, name: &str, to: &str) -> TcpStream {
     let mut stream = TcpStream::connect(at).await.expect("a listener");
     let hello = Hello { name: name.to_owned(), to: to.to_owned(), life: 9 };
-    stream.write_all(&seal.frame(Kind::Hello, &body(&hello)).expect("it fits")).await.expect("room");
+    stream
+        .write_all(&codec.encode(FrameKind::Hello, &encode_body(&hello)).expect("it fits"))
+        .await
+        .expect("room");
     stream
 }
 
@@ -58,24 +66,24 @@
 #[test]
 fn a_peer_that_does_not_read_or_dribbles_costs_only_its_own_link() {
     played(async {
-        let (other, other_at, came) = way("b", &[]).await;
-        let (here, at, _) = way("a", &[("b", other_at)]).await;
-        let _never_reads = greet(at, here.seal, "n", "a").await;
-        until("its link", || here.links() == (0, 1)).await;
+        let (other, other_at, came) = transport("b", &[]).await;
+        let (here, at, _) = transport("a", &[("b", other_at)]).await;
+        let _never_reads = greet(at, here.codec, "n", "a").await;
+        until("its link", || here.link_counts() == (0, 1)).await;
         let big = vec![0; 100_000];
         let mut refused = 0;
         for _ in 0..100 {
-            refused += u32::from(here.send("n", None, Lane::Copies, Kind::Compare, &big).is_err());
-            assert_eq!(here.send("b", None, Lane::Copies, Kind::Compare, b"small"), Ok(()));
+            refused += u32::from(here.send("n", None, Lane::Replication, FrameKind::Compare, &big).is_err());
+            assert_eq!(here.send("b", None, Lane::Replication, FrameKind::Compare, b"small"), Ok(()));
             tokio::task::yield_now().await;
         }
         assert!(refused > 0, "no limit was met");
         until("what the other was sent", || came.borrow().len() == 100).await;
-        until("the end of the link that does not move", || here.counts.borrow().silent >= 1).await;
+        until("the end of the link that does not move", || here.counters.borrow().silent >= 1).await;
 
-        let mut dribbles = greet(at, here.seal, "d", "a").await;
-        let frame = here.seal.frame(Kind::Compare, &[0; 1000]).expect("it fits");
-        let before = here.counts.borrow().silent;
+        let mut dribbles = greet(at, here.codec, "d", "a").await;
+        let frame = here.codec.encode(FrameKind::Compare, &[0; 1000]).expect("it fits");
+        let before = here.counters.borrow().silent;
         for byte in frame.iter() {
             // It writes for as long as it may; what it writes is never a whole frame in time.
             if dribbles.write_all(&[*byte]).await.is_err() {
@@ -83,9 +91,9 @@
             }
             sleep(Duration::from_millis(5)).await;
         }
-        until("the end of the one that dribbles", || here.counts.borrow().silent > before).await;
+        until("the end of the one that dribbles", || here.counters.borrow().silent > before).await;
         assert!(!came.borrow().iter().any(|(from, _)| from == "d"));
-        assert_eq!(other.links().1, 1, "the one that reads keeps its link");
+        assert_eq!(other.link_counts().1, 1, "the one that reads keeps its link");
     });
 }
 
@@ -94,56 +102,56 @@
 #[test]
 fn only_the_one_that_was_meant_is_linked_and_the_next_version_is() {
     played(async {
-        let (other, other_at, _) = way("b", &[]).await;
+        let (other, other_at, _) = transport("b", &[]).await;
         // The address of `x` is now that of `b`.
-        let (here, at, came) = way("a", &[("x", other_at)]).await;
-        assert_eq!(here.send("x", Some(other_at), Lane::Hints, Kind::Compare, b"for x"), Ok(()));
-        until("a greeting for somebody else", || other.counts.borrow().wrong_name >= 1).await;
-        assert_eq!((here.links(), other.links()), ((0, 0), (0, 0)));
+        let (here, at, came) = transport("a", &[("x", other_at)]).await;
+        assert_eq!(here.send("x", Some(other_at), Lane::BestEffort, FrameKind::Compare, b"for x"), Ok(()));
+        until("a greeting for somebody else", || other.counters.borrow().wrong_name >= 1).await;
+        assert_eq!((here.link_counts(), other.link_counts()), ((0, 0), (0, 0)));
 
         let mut next = TcpStream::connect(at).await.expect("a listener");
-        let mut hello = body(&Hello { name: "n".to_owned(), to: "a".to_owned(), life: 9 });
-        hello.extend(body(&("a field that is new", 77u32)));
+        let mut hello = encode_body(&Hello { name: "n".to_owned(), to: "a".to_owned(), life: 9 });
+        hello.extend(encode_body(&("a field that is new", 77u32)));
         for (kind, content) in
-            [(Kind::Hello as u16, &hello[..]), (999, b"?"), (Kind::Compare as u16, b"good")]
+            [(FrameKind::Hello as u16, &hello[..]), (999, b"?"), (FrameKind::Compare as u16, b"good")]
         {
-            let frame = here.seal.sealed(VERSION + 1, kind, content).expect("it fits");
+            let frame = here.codec.encode_as(VERSION + 1, kind, content).expect("it fits");
             next.write_all(&frame).await.expect("room");
         }
         until("its frame", || came.borrow().iter().any(|(from, length)| from == "n" && *length == 4)).await;
-        assert_eq!(here.counts.borrow().unknown, 1);
+        assert_eq!(here.counters.borrow().unknown, 1);
     });
 }
 
-/// Guards the count of links: no more are dialled or accepted than the block allows, the one least lately needed leaves, and
+/// Guards the count of links: no more are dialled or accepted than the section allows, the one least lately needed leaves, and
 /// two that dial each other keep one.
 #[test]
 fn links_stay_within_their_bounds_and_two_keep_one() {
     played(async {
-        let (b, b_at, came_b) = way("b", &[]).await;
-        let (_c, c_at, came_c) = way("c", &[]).await;
-        let (_d, d_at, came_d) = way("d", &[]).await;
-        let (here, at, came) = way("a", &[]).await;
+        let (b, b_at, came_b) = transport("b", &[]).await;
+        let (_c, c_at, came_c) = transport("c", &[]).await;
+        let (_d, d_at, came_d) = transport("d", &[]).await;
+        let (here, at, came) = transport("a", &[]).await;
         for (name, to, came) in [("b", b_at, &came_b), ("c", c_at, &came_c), ("d", d_at, &came_d)] {
-            assert_eq!(here.send(name, Some(to), Lane::Hints, Kind::Compare, b"hello"), Ok(()));
+            assert_eq!(here.send(name, Some(to), Lane::BestEffort, FrameKind::Compare, b"hello"), Ok(()));
             until("a frame", || !came.borrow().is_empty()).await;
-            assert!(here.links().0 <= 2);
+            assert!(here.link_counts().0 <= 2);
         }
-        until("the oldest to leave", || b.links() == (0, 0)).await;
+        until("the oldest to leave", || b.link_counts() == (0, 0)).await;
         // Both at once: whichever comes up first, one is left, and both ways carry.
-        assert_eq!(here.send("b", Some(b_at), Lane::Hints, Kind::Compare, b"1"), Ok(()));
-        assert_eq!(b.send("a", Some(at), Lane::Hints, Kind::Compare, b"2"), Ok(()));
+        assert_eq!(here.send("b", Some(b_at), Lane::BestEffort, FrameKind::Compare, b"1"), Ok(()));
+        assert_eq!(b.send("a", Some(at), Lane::BestEffort, FrameKind::Compare, b"2"), Ok(()));
         until("both frames", || {
             came.borrow().iter().any(|(from, _)| from == "b") && came_b.borrow().len() == 2
         })
         .await;
-        until("one link", || b.links().0 + b.links().1 == 1).await;
+        until("one link", || b.link_counts().0 + b.link_counts().1 == 1).await;
 
         let mut strangers = Vec::new();
         for _ in 0..6 {
             strangers.push(TcpStream::connect(at).await.expect("a listener"));
         }
-        until("those that are too many", || here.counts.borrow().crowded >= 3).await;
+        until("those that are too many", || here.counters.borrow().crowded >= 3).await;
         // Those that say nothing are told nothing and end.
         let mut rest = Vec::new();
         let ended = timeout(PATIENCE, strangers[0].read_to_end(&mut rest)).await.expect("an end");
