Do not cut off an answer that is arriving, at its class's aim or by patience

From then on the request has until its deadline, and its attempt goes on as long as bytes come, each within half of the time that the attempt was given; one that stands still is given up as before.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -53,9 +53,8 @@
             Err(Outcome::ConnectFailed) => return Ended::of(Outcome::ConnectFailed),
             Err(outcome) => return Ended { broken, ..Ended::of(outcome) },
         };
-        line.hold(&connection.wire);
         let kept = connection.kept.is_some();
-        match transport.exchange(backend, connection, order, part, delivery, &permit).await {
+        match transport.exchange(backend, connection, order, part, delivery, line).await {
             Exchange::Answered(ended) => return Ended { broken, ..ended },
             Exchange::NotPermitted => return Ended { broken, ..Ended::of(Outcome::NotSent) },
             // A connection from the pool that broke before the request was whole tells little of the backend, and
@@ -110,8 +109,10 @@
         order: &Order,
         part: Allowance,
         delivery: DeliveryMode,
-        permit: &Permit,
+        line: &Line,
     ) -> Exchange {
+        let permit = Permit::new(order.client.clone(), part, self.clock);
+        line.hold(&connection.wire);
         connection.wire.begin(order.body.len(), delivery != DeliveryMode::Normal, permit.clone());
         let sent = self.send(&mut connection, order, part).await;
         let unsent = sent.is_none() && !connection.wire.whole();
@@ -122,7 +123,7 @@
             self.pools.learn(idle, sent.is_none());
         }
         let received = match sent {
-            Some(answer) => read(&self.reading, answer).await,
+            Some(answer) => read(&self.reading, answer, self.clock, line.arrival()).await,
             None => None,
         };
         let whole = connection.wire.whole();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod site;
 mod traffic;
 
+mod arrival;
 mod permit;
 
 mod answers;
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -3,7 +3,7 @@
 
 use cometspool_rig::hand::*;
 use socket2::SockRef;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Long enough that no answer of these tests comes from a deadline.
 const LONG: &str = "8";
@@ -143,3 +143,49 @@
         assert!(answer.body == body.as_bytes(), "number {number}: {} bytes", answer.body.len());
     }
 }
+
+/// Guards an answer that is arriving when its request's aim is over: while it goes on it is not cut off, though a later answer
+/// earns nothing, and it reaches its client whole.
+#[test]
+fn an_answer_that_is_arriving_is_not_cut_off_at_the_aim() {
+    for class in ["read", "charge"] {
+        let scene = Scene::new(1);
+        let began = Instant::now();
+        let (mut client, mut backend) = begun(&scene, "id-1", class);
+        backend.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let mut pieces = 0;
+        // The aim is 4 s.
+        while began.elapsed() < Duration::from_millis(4500) {
+            backend.write("5\r\npiece\r\n");
+            pieces += 1;
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        assert!(!client.speaks(), "{class}: answered before its backend had ended");
+        backend.write("0\r\n\r\n");
+        let answer = client.read();
+        assert_eq!(answer.status(), 200, "{class}");
+        assert_eq!(answer.body, "piece".repeat(pieces).as_bytes());
+    }
+}
+
+/// Guards against an answer that begins and stands still: what may be repeated is given up all the same, and served elsewhere.
+#[test]
+fn an_answer_that_stands_still_leaves_time_for_another() {
+    let mut settings = settings();
+    settings["fleet_size"] = 1.into();
+    settings["grades"][0]["aim"] = 600.0.into();
+    settings["grades"][0]["late_worth"] = 0.5.into();
+    for said in [format!("{HEAD}half"), "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_owned()] {
+        let scene = Scene::with(settings.clone(), 2);
+        let mut client = scene.program.client();
+        client.write(request_of("id-1", "read", "wide", LONG));
+        let (first, mut hung) = scene.accept_any();
+        hung.read();
+        hung.write(said);
+        let mut other = scene.backends[1 - first].accept();
+        hung.expect_end();
+        assert_eq!(other.read().header("request-id"), Some("id-1"));
+        other.answer(200, "", "in time");
+        assert_eq!(client.read().body, b"in time");
+    }
+}
