Have the list in force within 6 s after refused, hung and moved calls to discovery

Need: whatever the waits between calls, what discovery has is to be in force 6 s after it had it and could be reached (4 s after SIGHUP). After a 503 or 429 the pause was drawn from 60 to 120 ms for each front door of the fleet: 18 to 36 s at 300. A call or dial that hung was given up after 4.25 s, so that with a pause and a slow answer the sum was over 6 s.

Change: src/net/discovery/deadline.rs reckons each chain. A call has 1.4 s for its dial and the head of its answer, 2.8 s after one that had none: 2.8 + 0.2 + 2.8 = 5.8 s. The window of the pause after a refused call is cut to what is left of the time less an answer and 0.25 s: at most 4.35 s, and little after a silent watch. The window is cut, not the pause, so that nobody ends in step. An answer that takes over 2.8 s to begin is no longer waited for (4.25 s before).

--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -3,7 +3,8 @@
 //! One front door that asks four times a second costs a service nothing. A hundred that come back at the same
 //! pace can keep it overbooked for good: each call is turned away because of the others. Where a service says
 //! that it has too much to do, the window out of which a pause is drawn grows with the fleet and doubles with
-//! each call that was turned away, and the pause is drawn evenly, so that no two front doors stay in step.
+//! each call that was turned away, and the pause is drawn evenly, so that no two front doors stay in step. What the
+//! service has must be known in time all the same, so whoever calls tells the longest pause that this leaves.
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -14,8 +15,9 @@
 /// Longest pause where nothing says that the service has too much to do, and the shortest window where it does.
 const SOON: Duration = Duration::from_millis(200);
 /// What each front door of the fleet adds to the first window, and to the longest one: a fleet all of whose calls
-/// are turned away makes some twenty-five calls a second at first, and comes down to under ten. A service that works
-/// on calls whose callers have left must be asked less than it can bear before anybody is served again.
+/// are turned away makes some twenty-five calls a second at first, and comes down to under fifteen, as long as the
+/// window is below the longest pause that its caller may make. A service that works on calls whose callers have left
+/// must be asked less than it can bear before anybody is served again.
 const FIRST_PER_GATEWAY: Duration = Duration::from_millis(60);
 const MOST_PER_GATEWAY: Duration = Duration::from_millis(120);
 /// Shortest part of a window that a pause takes: what was turned away may still be worked on, ahead of the next call.
@@ -45,9 +47,11 @@
         self.draw(SOON)
     }
 
-    /// The pause after a call that was turned away for too many others.
-    pub fn turned_away(&mut self) -> Duration {
-        let window = self.first().saturating_mul(1 << self.turned_away.min(16)).min(self.most());
+    /// The pause after a call that was turned away for too many others: `longest` at most, unless that is too short to
+    /// be out of step with others. The window is cut to it, not the pause: pauses that are cut would end in step.
+    pub fn turned_away(&mut self, longest: Duration) -> Duration {
+        let grown = self.first().saturating_mul(1 << self.turned_away.min(16)).min(self.most());
+        let window = grown.min(longest.max(SOON));
         self.turned_away = self.turned_away.saturating_add(1);
         self.draw(window)
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,9 +1,13 @@
 //! The list of backends: a watch that is resumed where it ended, and the whole list when one is unreadable.
 //!
 //! One clock for silence runs from the last whole thing that discovery said: bytes of an object that never ends are none.
+//! Another bounds each call and the pause after it, so that what discovery has is in force in time.
+
+mod deadline;
 
 use super::backoff::Backoff;
 use super::members::Members;
+use deadline::{Deadline, Lapse, SILENCE};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::header::HOST;
@@ -16,10 +20,9 @@
 use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
 
-/// Discovery says something every 2 s. A watch that has missed two of these, and a little for the way, has lost its other
-/// end: what it misses counts as told 6 s after it fell silent, so the third may not be waited for. A whole fleet that finds
-/// its agents silent opens a watch each in this time, and each at its own.
-const SILENCE: Duration = Duration::from_millis(4250);
+#[cfg(test)]
+pub use deadline::LONGEST_PAUSE;
+
 /// Longest object that is taken in.
 const LONGEST_OBJECT: usize = 4 << 20;
 
@@ -54,6 +57,8 @@
     Request(#[from] hyper::http::Error),
     #[error("status {0}")]
     Status(StatusCode),
+    #[error("no answer in time")]
+    Unanswered,
     #[error("silent")]
     Silent(#[from] tokio::time::error::Elapsed),
     #[error("an object that never ended")]
@@ -78,7 +83,7 @@
             | Ended::TooLong
             | Ended::Backwards { .. } => true,
             Ended::Status(status) => status.is_client_error() && !self.says_overbooked(),
-            Ended::Io(_) | Ended::Http(_) | Ended::Request(_) | Ended::Silent(_) => false,
+            Ended::Io(_) | Ended::Http(_) | Ended::Request(_) | Ended::Unanswered | Ended::Silent(_) => false,
         }
     }
 
@@ -86,6 +91,19 @@
     fn says_overbooked(&self) -> bool {
         matches!(self, Ended::Status(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS))
     }
+
+    /// What this means for the time that is left.
+    fn lapse(&self) -> Lapse {
+        match self {
+            Ended::Unanswered => Lapse::Unanswered,
+            Ended::Silent(_) | Ended::Halved => Lapse::Silent,
+            Ended::Status(_) if self.says_overbooked() => Lapse::Refused,
+            Ended::Io(_) | Ended::Http(_) | Ended::Request(_) | Ended::Status(_) => Lapse::Failed,
+            Ended::Unreadable(_) | Ended::NoObject(_) | Ended::TooLong | Ended::Backwards { .. } => {
+                Lapse::Closed
+            }
+        }
+    }
 }
 
 /// Follows discovery for as long as the front door runs, from the list that it last had. When `agent` tells
@@ -103,6 +121,7 @@
         roster.list_changed(&known, News::Cached);
     }
     let mut down = false;
+    let mut deadline = Deadline::default();
     loop {
         let address = *agent.borrow_and_update();
         let before = version;
@@ -110,15 +129,21 @@
             Some(seq) => format!("/catalog/members?watch=1&from={seq}"),
             None => "/catalog/members".to_owned(),
         };
+        let begun = Instant::now();
+        let patience = deadline.patience();
         let ended = tokio::select! {
-            ended = read(&*roster, address, &path, &mut version, &mut newest) => ended,
-            _ = agent.changed() => continue,
+            ended = read(&*roster, address, &path, patience, &mut version, &mut newest) => ended,
+            _ = agent.changed() => {
+                deadline.moved();
+                continue;
+            }
         };
         // A place that does not know the version, or tells what cannot be read, is asked for the whole list. One
         // that is overbooked knows it well: to ask it for more would keep it so.
         if ended.as_ref().is_err_and(Ended::wants_whole_list) {
             version = None;
         }
+        let longest = deadline.ended(begun, ended.as_ref().err().map_or(Lapse::Closed, Ended::lapse));
         let overbooked = ended.as_ref().is_err_and(Ended::says_overbooked);
         if version != before && version.is_some() {
             backoff.answered();
@@ -133,31 +158,33 @@
             eprintln!("discovery: watch ended: {why}");
         }
         down = version == before;
-        let pause = if overbooked { backoff.turned_away() } else { backoff.lost() };
+        let pause = if overbooked { backoff.turned_away(longest) } else { backoff.lost() };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            _ = agent.changed() => {}
+            _ = agent.changed() => deadline.moved(),
         }
     }
 }
 
-/// Asks for `path` and takes in each object of the answer until it ends.
+/// Asks for `path`, with `patience` for the answer to begin, and takes in each object of it until it ends.
 async fn read(
     roster: &dyn Roster,
     agent: SocketAddr,
     path: &str,
+    patience: Duration,
     version: &mut Option<u64>,
     newest: &mut Option<Newest>,
 ) -> Result<(), Ended> {
-    let begun = Instant::now() + SILENCE;
-    let stream = timeout_at(begun, TcpStream::connect(agent)).await??;
+    let answer_by = Instant::now() + patience;
+    let stream = timeout_at(answer_by, TcpStream::connect(agent)).await.map_err(|_| Ended::Unanswered)??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     // Ends with this function: the set ends its tasks when it is dropped.
     let mut tied = tokio::task::JoinSet::new();
     tied.spawn_local(connection);
     let request = Request::get(path).header(HOST, agent.to_string()).body(Empty::<Bytes>::new())?;
-    let answer = timeout_at(begun, sender.send_request(request)).await??;
+    let answer =
+        timeout_at(answer_by, sender.send_request(request)).await.map_err(|_| Ended::Unanswered)??;
     if answer.status() != StatusCode::OK {
         return Err(Ended::Status(answer.status()));
     }
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -2,7 +2,7 @@
 
 use cometspool_rig::hand::*;
 use serde_json::{json, Value};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Long enough that no answer of these tests comes from a deadline.
 const LONG: &str = "8";
@@ -21,7 +21,9 @@
 /// Asks until a request reaches a backend: until then it is refused, as there is nobody to send it to.
 fn served_by(program: &Program, backend: &Place, name: &str) {
     let mut client = program.client();
+    let begun = Instant::now();
     let reached = (0..).find_map(|i| {
+        assert!(begun.elapsed() < PATIENCE, "{name}: nobody to send it to");
         client.write(request_of(&format!("{name}-{i}"), "read", "wide", LONG));
         let reached = backend.accept_or(&client);
         if reached.is_none() {
@@ -226,3 +228,121 @@
         stale.expect_end();
     }
 }
+
+/// What discovery has is in force so long after it had it and could be reached, and after a new configuration.
+const IN_FORCE: Duration = Duration::from_secs(6);
+const IN_FORCE_ELSEWHERE: Duration = Duration::from_secs(4);
+/// How long a call is let wait here, below the time that a call gets at least.
+const LONG_WAIT: Duration = Duration::from_millis(1200);
+/// A slow answer after a call that hung: such a call is let wait for longer.
+const SLOW_ANSWER: Duration = Duration::from_secs(2);
+/// The slowest one that is waited for.
+const SLOWEST_ANSWER: Duration = Duration::from_millis(2800);
+
+/// Settings of a fleet whose calls would keep a service busy if they came often.
+fn large_fleet() -> Value {
+    let mut large = settings();
+    large["fleet_size"] = 300.into();
+    large
+}
+
+/// Answers the call with a new list that holds `fresh` alone, and waits until a request gets there.
+fn told_and_served(program: &Program, call: Wire, fresh: &Place) {
+    let mut watch = Watch::begin(call);
+    watch.line(&members(8, true, &[member("s-1", fresh.address(), "up")]).to_string());
+    served_by(program, fresh, "in-force");
+}
+
+/// Guards the list against long pauses of a large fleet: after each call that discovery refuses, at once or after a wait,
+/// what it has is in force in time.
+#[test]
+fn after_a_refused_call_the_list_is_in_force_in_time() {
+    for status in [503, 429] {
+        let discovery = Place::new();
+        let fresh = Place::new();
+        let program = Program::start(large_fleet(), discovery.address(), members(7, true, &[]));
+        for wait in [Duration::ZERO, LONG_WAIT] {
+            // Each of these calls may be the last one before discovery can be reached again.
+            let mut refused = called(&discovery, &watch_from(7));
+            let had = Instant::now();
+            // The service takes this long to refuse it.
+            std::thread::sleep(wait);
+            refused.answer(status, "", "");
+            let call = wait_for("the next call", || discovery.try_accept());
+            assert!(
+                had.elapsed() < IN_FORCE,
+                "{status} after {wait:?}: called again after {:?}",
+                had.elapsed()
+            );
+            if wait == LONG_WAIT {
+                told_and_served(&program, call, &fresh);
+                assert!(had.elapsed() < IN_FORCE, "{status}: in force after {:?}", had.elapsed());
+            } else {
+                drop(call);
+            }
+        }
+    }
+}
+
+/// Guards the list after a watch that fell silent, where the first call after it is refused: the silence has taken most of
+/// the time.
+#[test]
+fn after_a_silent_watch_and_a_refused_call_the_list_is_in_force_in_time() {
+    let fresh = Place::new();
+    let mut scene = Scene::with(large_fleet(), 0);
+    scene.watch.line("");
+    let silent = Instant::now();
+    called(&scene.discovery, &watch_from(7)).answer(503, "", "");
+    let call = called(&scene.discovery, &watch_from(7));
+    told_and_served(&scene.program, call, &fresh);
+    assert!(silent.elapsed() < IN_FORCE, "in force after {:?}", silent.elapsed());
+}
+
+/// Guards the list against calls that hang while discovery comes back: each is given up early enough that a further one,
+/// also one whose answer is slow, is in time.
+#[test]
+fn after_a_hung_call_the_list_is_in_force_in_time() {
+    let discovery = Place::new();
+    let fresh = Place::new();
+    let program = Program::start(large_fleet(), discovery.address(), members(7, true, &[]));
+    let _first = called(&discovery, &watch_from(7));
+    let _second = called(&discovery, &watch_from(7));
+    let had = Instant::now();
+    let call = called(&discovery, &watch_from(7));
+    // The answer is slow, but no slower than the calls before were let wait.
+    std::thread::sleep(SLOW_ANSWER);
+    told_and_served(&program, call, &fresh);
+    assert!(had.elapsed() < IN_FORCE, "in force after {:?}", had.elapsed());
+}
+
+/// Guards the list against dials that hang: each is given up early enough for the slowest answer to a further one.
+#[test]
+fn after_a_hung_dial_the_list_is_in_force_in_time() {
+    let (discovery, fillers) = crowded_place();
+    let fresh = Place::new();
+    let program = Program::start(large_fleet(), discovery.address(), members(7, true, &[]));
+    wait_for("a dial that hangs", || dialling(discovery.address()).then_some(()));
+    let had = Instant::now();
+    wait_for("a dial that is given up", || (!dialling(discovery.address())).then_some(()));
+    assert!(had.elapsed() + SLOWEST_ANSWER < IN_FORCE, "given up after {:?}", had.elapsed());
+    for _ in &fillers {
+        discovery.accept();
+    }
+    told_and_served(&program, called(&discovery, &watch_from(7)), &fresh);
+    assert!(had.elapsed() < IN_FORCE, "in force after {:?}", had.elapsed());
+}
+
+/// Guards the list at a new address of discovery that refuses the first call.
+#[test]
+fn after_a_move_and_a_refused_call_the_list_is_in_force_in_time() {
+    let moved = Place::new();
+    let fresh = Place::new();
+    let scene = Scene::with(large_fleet(), 0);
+    let mut config = scene.program.config.clone();
+    config["discovery"] = moved.address().to_string().into();
+    let told = Instant::now();
+    scene.program.reload(&config.to_string());
+    called(&moved, &watch_from(7)).answer(503, "", "");
+    told_and_served(&scene.program, called(&moved, &watch_from(7)), &fresh);
+    assert!(told.elapsed() < IN_FORCE_ELSEWHERE, "in force after {:?}", told.elapsed());
+}
