--- a/src/bin/cometspool-drill/main.rs
+++ b/src/bin/cometspool-drill/main.rs
@@ -135,7 +135,7 @@
                 waited: 0.0,
             })
         }
-        Record::FirstByte { id } => Event::AnswerBegun { request: RequestId(id), streamed: true },
+        Record::FirstByte { id } => Event::StreamStarted(RequestId(id)),
         Record::Settled(o) => Event::Settled(Settled {
             request: RequestId(o.id),
             attempt: u32::from(o.attempt),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -336,13 +336,8 @@
     Backends(ListKind, Vec<BackendEntry>),
     /// A request came in.
     Arrival(Request),
-    /// An answer has begun to arrive and goes on arriving: from now on its attempt has as much time as its request.
-    AnswerBegun {
-        /// Which request.
-        request: RequestId,
-        /// Whether its client gets it as it comes: then nothing else can follow.
-        streamed: bool,
-    },
+    /// A streamed answer has begun.
+    StreamStarted(RequestId),
     /// An attempt ended.
     Settled(Settled),
     /// The client went away.
@@ -398,7 +393,7 @@
         request: RequestId,
         /// To which backend.
         backend: BackendId,
-        /// Its time-out; it holds until an answer begins to arrive.
+        /// Its time-out.
         limit: Option<Millis>,
         /// The time before which it has to reach the backend, if there is one: later it could run a second time.
         begin_before: Option<Millis>,
--- a/src/net/answers.rs
+++ b/src/net/answers.rs
@@ -3,8 +3,6 @@
 //! An answer that tells its length, or comes in chunks, is whole with its last byte. One without either ends with its
 //! connection (RFC 9112, 6.3): it is whole where that is closed in order, and cut where it is reset.
 
-use super::arrival::Arrival;
-use super::clock::Clock;
 use super::traffic::{Ended, LONGEST_BODY};
 use cometspool::settings::{self, Metric, Told};
 use cometspool::{Outcome, Report};
@@ -14,15 +12,12 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Longest body of an answer at all. Backends are met that send far more than the agreed 64 KiB, and their good
 /// answers are worth passing on; one that is said to be longer than this is none.
 const LONGEST_ANSWER: usize = 1 << 20;
 /// Part of the memory that long answers may take together, from the first byte read to the last one written.
 const BUDGET_PART: usize = 4;
-/// What has not come whole this long after its head does not come all at once.
-const ALL_AT_ONCE: Duration = Duration::from_millis(5);
 /// A use over this many percent of a rate is no figure to go by.
 const MOST_USAGE: f64 = 100_000.0;
 
@@ -126,31 +121,13 @@
 
 /// Reads a whole answer; `None` if its connection breaks before the end, or if it is longer than there is memory for. After
 /// 101 the connection speaks something else: that is no answer.
-pub async fn read(
-    reading: &Reading,
-    answer: Response<Incoming>,
-    clock: Clock,
-    arrival: &Arrival,
-) -> Option<Received> {
+pub async fn read(reading: &Reading, answer: Response<Incoming>) -> Option<Received> {
     let (head, body) = answer.into_parts();
     if head.status.is_informational() {
         return None;
     }
-    arrival.note(clock.now());
     let delimited = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
-    let length = body.size_hint().exact();
-    let noted = body.map_frame(|frame| {
-        arrival.note(clock.now());
-        frame
-    });
-    let mut whole = std::pin::pin!(read_body(&reading.budget, noted, length));
-    let body = match tokio::time::timeout(ALL_AT_ONCE, whole.as_mut()).await {
-        Ok(body) => body?,
-        Err(_) => {
-            arrival.begun();
-            whole.await?
-        }
-    };
+    let body = read_body(&reading.budget, body).await?;
     let outcome = outcome(head.status, &head.headers);
     let ended = Ended {
         outcome,
@@ -164,11 +141,8 @@
 }
 
 /// Reads a body to its end, within the bounds on one answer and on all.
-async fn read_body<B>(budget: &MemoryBudget, body: B, length: Option<u64>) -> Option<Bytes>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
-    match length {
+async fn read_body(budget: &MemoryBudget, body: Incoming) -> Option<Bytes> {
+    match body.size_hint().exact() {
         Some(length) if length > LONGEST_ANSWER as u64 => None,
         Some(length) if length <= LONGEST_BODY as u64 => Some(body.collect().await.ok()?.to_bytes()),
         length => read_long_body(budget, body, length).await,
@@ -176,10 +150,7 @@
 }
 
 /// Reads a body that is long or whose length is not known before its end, with memory set aside as it grows.
-async fn read_long_body<B>(budget: &MemoryBudget, mut body: B, length: Option<u64>) -> Option<Bytes>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
+async fn read_long_body(budget: &MemoryBudget, mut body: Incoming, length: Option<u64>) -> Option<Bytes> {
     let mut reservation = budget.reservation();
     // A known length is set aside at once: what has been begun can be finished.
     if !reservation.grow_to(length.unwrap_or(0) as usize) {
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -53,8 +53,9 @@
             Err(Outcome::ConnectFailed) => return Ended::of(Outcome::ConnectFailed),
             Err(outcome) => return Ended { broken, ..Ended::of(outcome) },
         };
+        line.hold(&connection.wire);
         let kept = connection.kept.is_some();
-        match transport.exchange(backend, connection, order, part, delivery, line).await {
+        match transport.exchange(backend, connection, order, part, delivery, &permit).await {
             Exchange::Answered(ended) => return Ended { broken, ..ended },
             Exchange::NotPermitted => return Ended { broken, ..Ended::of(Outcome::NotSent) },
             // A connection from the pool that broke before the request was whole tells little of the backend, and
@@ -109,10 +110,8 @@
         order: &Order,
         part: Allowance,
         delivery: DeliveryMode,
-        line: &Line,
+        permit: &Permit,
     ) -> Exchange {
-        let permit = Permit::new(order.client.clone(), part, self.clock);
-        line.hold(&connection.wire);
         connection.wire.begin(order.body.len(), delivery != DeliveryMode::Normal, permit.clone());
         let sent = self.send(&mut connection, order, part).await;
         let unsent = sent.is_none() && !connection.wire.whole();
@@ -123,7 +122,7 @@
             self.pools.learn(idle, sent.is_none());
         }
         let received = match sent {
-            Some(answer) => read(&self.reading, answer, self.clock, line.arrival()).await,
+            Some(answer) => read(&self.reading, answer).await,
             None => None,
         };
         let whole = connection.wire.whole();
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -41,6 +41,8 @@
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Time for a whole request from its first byte, and for the first one on a connection from the connect.
 const READ_TIME: Millis = 2000.0;
+/// How long after the request's time its client still takes an answer: it is late then, and not lost.
+const LATE_ANSWER: Millis = 500.0;
 /// What is added before a connection is closed without a word, so that an answer can tell why.
 const LAST_WORD: Millis = 200.0;
 /// Time for which a connection without a request is kept: usual clients come again sooner.
@@ -269,7 +271,7 @@
         incoming.order.body = read_body(body, &head.method, end).await?;
         incoming.at = peer.last.get();
         peer.whole();
-        peer.write_by.set(budget.end());
+        peer.write_by.set(budget.end() + LATE_ANSWER);
         if peer.left() {
             return Err(Bad::Left);
         }
@@ -343,11 +345,13 @@
     last: Cell<Millis>,
     /// Whether a request has come whole and has no answer yet.
     owed: Cell<bool>,
+    /// Whether an answer is ready and not written whole yet.
+    unwritten: Cell<bool>,
     /// When its last answer was ready; `None` before the first.
     idle_since: Cell<Option<Millis>>,
     left: Cell<Option<Leave>>,
     asked: Notify,
-    /// When the last byte of its answer is to be written: with the budget of its request.
+    /// When the last byte of its answer is to be written.
     write_by: Cell<Millis>,
 }
 
@@ -381,9 +385,15 @@
 
     fn answered(&self, now: Millis) {
         self.owed.set(false);
+        self.unwritten.set(true);
         self.idle_since.set(Some(now));
     }
 
+    /// Whether it is owed an answer, or is being written one.
+    fn busy(&self) -> bool {
+        self.owed.get() || self.unwritten.get()
+    }
+
     /// When the time began in which the present request has to come. A client's first is counted from the
     /// connect: it may not say nothing first and dawdle then.
     fn begun(&self) -> Millis {
@@ -398,13 +408,13 @@
         let reading = self.idle_since.get().is_none() || self.first.get().is_some();
         let (most, how) =
             if reading { (READ_TIME + LAST_WORD, Leave::Now) } else { (IDLE_TIME, Leave::Idle) };
-        (!self.owed.get() && now - self.begun() > most).then_some(how)
+        (!self.busy() && now - self.begun() > most).then_some(how)
     }
 
     /// How little it would be missed: by kind, then by how long it has been so. `None` while it is owed an
     /// answer or has been asked to leave.
     fn dispensable(&self, now: Millis) -> Option<(Spare, Millis)> {
-        if self.owed.get() || self.left.get().is_some() {
+        if self.busy() || self.left.get().is_some() {
             return None;
         }
         let age = now - self.begun();
@@ -469,8 +479,8 @@
         }
     }
 
-    /// Guards against clients that ask and do not read: what is still to be written when the request's time is up goes to
-    /// nobody, and the connection ends.
+    /// Guards against clients that ask and do not read: what is still to be written when nobody takes the answer any more goes
+    /// to nobody, and the connection ends.
     fn or_stalled<T>(&mut self, cx: &mut Context<'_>, wrote: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if wrote.is_ready() {
             self.stalled = None;
@@ -508,6 +518,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // It is asked for once all that was to be written has been.
+        self.peer.unwritten.set(false);
         self.with(|stream| stream.poll_flush(cx))
     }
 
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -39,9 +39,6 @@
 /// Ends of backends that are remembered at most, beyond those still listed.
 const ENDS_KEPT: usize = 4096;
 
-/// Longest time between two pieces of an answer, as a part of the time that its attempt was given.
-const LONGEST_PAUSE: f64 = 0.5;
-
 /// What a planned stop keeps of its time, so that the last answers are written before the process ends.
 const LAST_WRITES: Millis = 100.0;
 
@@ -113,8 +110,6 @@
     number: u32,
     backend: BackendId,
     sent: Millis,
-    /// How long it may take until an answer begins.
-    allowed: Millis,
     line: Line,
 }
 
@@ -332,7 +327,6 @@
             handover.sent(&entry.order.id, entry.budget.end());
         }
         let line = Line::default();
-        line.arrival().on_begun(self.when_answer_begins(id));
         let carried = (self.carrier)(backend, entry.order.clone(), part, delivery, line.clone());
         let own = self.own.clone();
         let task = tokio::task::spawn_local(async move {
@@ -342,32 +336,11 @@
             }
         });
         line.tie(task.abort_handle());
-        entry.out.push(Attempt { number, backend, sent: now, allowed: part.until() - now, line });
+        entry.out.push(Attempt { number, backend, sent: now, line });
         drop(held);
         self.set_timer(part.until(), Due::TimeOut(id, number));
     }
 
-    /// Tells the module, unless the front door has ended, that an answer has begun to arrive.
-    fn when_answer_begins(&self, id: RequestId) -> Box<dyn FnOnce()> {
-        let own = self.own.clone();
-        Box::new(move || {
-            if let Some(door) = own.upgrade() {
-                door.post(door.site.clock.now(), Event::AnswerBegun { request: id, streamed: false });
-            }
-        })
-    }
-
-    /// Until when an attempt goes on whose time is up, if its answer is arriving: as long as bytes come, each within half of
-    /// the time that the attempt had, and its request has time. One that stands still is given up.
-    fn extended(&self, now: Millis, id: RequestId, number: u32) -> Option<Millis> {
-        let state = self.state.borrow();
-        let entry = state.requests.get(&id)?;
-        let attempt = entry.out.iter().find(|attempt| attempt.number == number)?;
-        let until = attempt.line.arrival().last()? + attempt.allowed * LONGEST_PAUSE;
-        let until = until.min(entry.budget.end());
-        (until > now).then_some(until)
-    }
-
     /// Settles an attempt, once: whatever ends it later finds it gone.
     fn settle(&self, id: RequestId, number: u32, mut ended: Ended) {
         let now = self.site.clock.now();
@@ -439,10 +412,7 @@
     fn fire(&self, now: Millis, due: Due) {
         match due {
             Due::Alarm(alarm) => self.post(now, Event::Alarm(alarm)),
-            Due::TimeOut(id, number) => match self.extended(now, id, number) {
-                Some(until) => self.set_timer(until, Due::TimeOut(id, number)),
-                None => self.settle(id, number, Ended::of(Outcome::Timeout)),
-            },
+            Due::TimeOut(id, number) => self.settle(id, number, Ended::of(Outcome::Timeout)),
             Due::Deadline(id) => {
                 // The module answers before this; a request that it holds must not stay without an answer.
                 let waited = self.state.borrow().requests.get(&id).is_some_and(|e| e.answer.is_some());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,6 @@
 mod site;
 mod traffic;
 
-mod arrival;
 mod permit;
 
 mod answers;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,6 +1,5 @@
 //! Connections to backends: pools, how far kept ones are trusted, and how much of a request has been written.
 
-use super::arrival::Arrival;
 use super::clock::Clock;
 use super::links::{self, Bounds, DialId, Effect, LinkId, Taken, Ticket, Why};
 use super::permit::Permit;
@@ -227,15 +226,9 @@
 pub struct Line {
     wire: Rc<RefCell<Option<Rc<Wire>>>>,
     task: Rc<RefCell<Option<AbortHandle>>>,
-    arrival: Rc<Arrival>,
 }
 
 impl Line {
-    /// How far its answer has come.
-    pub fn arrival(&self) -> &Arrival {
-        &self.arrival
-    }
-
     /// Names the connection that carries the attempt.
     pub fn hold(&self, wire: &Rc<Wire>) {
         *self.wire.borrow_mut() = Some(wire.clone());
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -9,8 +9,8 @@
 const HUNG: f64 = 8.0; // times what it should take after which an attempt that may be repeated is given up
 const HUNG_AIMS: f64 = 0.4; // least time that such an attempt gets, as a part of its aim
 const CAUTION_AIMS: f64 = 8.0; // shortest aims after a connection broke in which all are sent with caution
-pub(super) const RETRY_SHARE: f64 = 0.2; // further attempts allowed for each first attempt
-pub(super) const RETRY_DEPTH: f64 = 10.0; // further attempts saved up at most
+const RETRY_SHARE: f64 = 0.2; // further attempts allowed for each first attempt
+const RETRY_DEPTH: f64 = 10.0; // further attempts saved up at most
 const QUICKEST: f64 = 0.1; // part of a class's answers that came sooner than the least time for an attempt
 const QUICK_STEP: f64 = 0.1; // how far one answer moves that time, as a part of it
 
@@ -35,13 +35,12 @@
     pub started: bool,    // its streamed answer has
     pub answered: bool,   // whatever is still out, its client has its final answer
     pub slow: bool,       // it is known to be
-    pub arriving: bool,   // an answer has begun and not come to its end
 }
 
 impl Live {
     pub fn new(request: Request, arrived: Millis) -> Live {
-        let (started, answered, slow, arriving) = (false, false, false, false);
-        Live { request, arrived, sends: 0, out: Vec::new(), ran: None, started, answered, slow, arriving }
+        let (started, answered, slow) = (false, false, false);
+        Live { request, arrived, sends: 0, out: Vec::new(), ran: None, started, answered, slow }
     }
 }
 
@@ -84,12 +83,12 @@
         &self.terms.set.classes[live.request.class.0]
     }
 
-    /// When a request is answered at the latest: with its aim, if later is worth nothing and none arrives.
+    /// When a request gets its final answer at the latest: with its aim where later is worth nothing.
     pub fn cut(&self, live: &Live) -> Millis {
         let class = self.class(live);
         let aim = live.arrived - live.request.waited + class.aim;
         let last = live.request.deadline - 2.0 * self.terms.set.tick;
-        last.min(if class.late_worth > 0.0 || live.arriving { last } else { aim })
+        last.min(if class.late_worth > 0.0 { last } else { aim })
     }
 
     /// Whether an attempt begun now can end in what is left of its request's time.
@@ -104,6 +103,10 @@
         quick.feed(elapsed, QUICKEST, QUICK_STEP);
     }
 
+    pub fn earn_retries(&mut self) {
+        self.retries = (self.retries + RETRY_SHARE).min(RETRY_DEPTH);
+    }
+
     pub fn may_send_again(&self, now: Millis, live: &Live) -> bool {
         self.fits(now, live) && self.retries >= 1.0 && live.sends < self.terms.set.max_attempts
     }
@@ -116,10 +119,11 @@
             || matches!(class.effect, Effect::Keyed { group: Group::All, memory } if memory > class.aim);
         let limit = (HUNG * expected).max(HUNG_AIMS * class.aim);
         let fits = 2.0 * limit <= self.cut(live) - now && live.sends + 1 < self.terms.set.max_attempts;
-        if !again || !fits || !calm || self.retries < 1.0 {
-            return f64::INFINITY;
+        if again && fits && calm && self.retries >= 1.0 {
+            limit
+        } else {
+            f64::INFINITY
         }
-        limit
     }
 
     /// Guards against connections that are dead unseen, in pools or between: a request that must not be run
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -69,9 +69,8 @@
         match event {
             Event::Backends(kind, entries) => self.listed(now, kind, &entries, actions),
             Event::Arrival(request) => self.arrived(now, request, actions),
-            Event::AnswerBegun { request, streamed } => {
-                let begun = |live: &mut Live| (live.started, live.arriving) = (streamed, true);
-                self.attempts.live.entry(request).and_modify(begun);
+            Event::StreamStarted(id) => {
+                self.attempts.live.entry(id).and_modify(|live| live.started = true);
             }
             Event::Settled(settled) => self.settled(now, &settled, actions),
             Event::ClientGone(id) => self.abandon(id, actions),
@@ -106,8 +105,7 @@
         let live = Live::new(request, now);
         match self.admit(now, &live) {
             Ok(choice) => {
-                let earned = self.attempts.retries + attempts::RETRY_SHARE;
-                self.attempts.retries = earned.min(attempts::RETRY_DEPTH);
+                self.attempts.earn_retries();
                 let at = self.slow_mark(&live).min(self.attempts.cut(&live));
                 actions.push(Action::SetAlarm { at, alarm: AlarmId(u64::from(id.0)) });
                 self.attempts.live.insert(id, live);
@@ -152,8 +150,9 @@
         Action::Refuse { request, retry_after, why }
     }
 
-    /// When an answer is slow: later for larger requests. A time-out is news when queues have long filled.
+    /// When an answer is slow. It is observed at once: a time-out is news when queues have long filled.
     fn slow_mark(&self, live: &Live) -> Millis {
+        // A larger request than usual has more time.
         let size = (live.request.units / self.quotas.usual.max(0.01)).max(1.0);
         live.arrived + (guards::SLOW_AIMS * size).min(1.0) * self.terms.set.classes[live.request.class.0].aim
     }
@@ -192,7 +191,6 @@
         let Some(live) = self.attempts.live.get_mut(&id) else { return };
         let ended = |out: &Try| out.attempt == settled.attempt && out.to == settled.backend;
         let Some(ended) = live.out.iter().position(ended).map(|place| live.out.remove(place)) else { return };
-        live.arriving &= !live.out.is_empty();
         if !settled.outcome.never_ran() {
             live.ran = live.ran.filter(|ran| ran.at <= ended.at).or(Some(ended));
         }
@@ -258,14 +256,14 @@
     fn out_of_time(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let Some(live) = self.attempts.waiting(id) else { return };
         let cut = self.attempts.cut(live);
-        if now >= cut {
+        if now >= cut || live.slow {
             actions.push(self.last_word(now, live));
             self.abandon(id, actions);
             return;
         }
         actions.push(Action::SetAlarm { at: cut, alarm: AlarmId(u64::from(id.0)) });
         // What hangs is no sign of queues: a fallen opening would refuse what the backends have room for.
-        if !live.slow && !live.out.first().is_some_and(|out| self.fleet.hung(now, out.to, id)) {
+        if !live.out.first().is_some_and(|out| self.fleet.hung(now, out.to, id)) {
             self.opening.observe_answer(now, 1.0);
         }
         self.attempts.live.entry(id).and_modify(|live| live.slow = true);
