--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -26,6 +26,8 @@
 const CHUNK: usize = 16 * 1024;
 /// Chunks of one direction of a connection that are under way at most; beyond that the sender is made to wait.
 const UNDER_WAY: usize = 64;
+/// Longest datagram that there is, and a little more.
+const LONGEST_DATAGRAM: usize = 64 * 1024;
 /// Datagrams of a link that are under way at most; further ones are lost.
 const DATAGRAMS: u64 = 4096;
 /// Longest queue, in time, in front of a rate limit; datagrams beyond it are lost.
@@ -315,7 +317,11 @@
 
     async fn datagrams(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let under_way = Arc::new(AtomicU64::new(0));
-        let mut buffer = vec![0; 64 * 1024];
+        // Most links of a large fleet carry no datagram: room for one is taken with the first.
+        if socket.readable().await.is_err() {
+            return;
+        }
+        let mut buffer = vec![0; LONGEST_DATAGRAM];
         loop {
             // An error is the echo of an earlier datagram that nobody was there to hear.
             let Ok((length, _)) = socket.recv_from(&mut buffer).await else { continue };
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -1,6 +1,7 @@
-//! The rig itself: a fleet of processes with links between all of them, stand-ins round them, and one history.
+//! The rig itself: a fleet of processes with links between those that are told of each other, stand-ins round them, and
+//! one history.
 
-use crate::ground::Ground;
+use crate::ground::{Ground, MOST_PROCESSES};
 use crate::hand::{member, members, settings};
 use crate::history::{Event, History};
 use crate::link::{Direction, Link, Quality};
@@ -10,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -22,6 +23,10 @@
 pub const PATIENCE: Duration = Duration::from_secs(120);
 /// How often what is waited for is looked at.
 const LOOK: Duration = Duration::from_millis(10);
+/// Numbers of the stand-ins: the discovery agent, the count keeper, and the first backend.
+const DISCOVERY: usize = 1;
+const COUNTER: usize = 2;
+const FIRST_BACKEND: usize = 10;
 /// Names of folders begin so, and go on with the id of the process that made them.
 const FOLDER: &str = "cometspool-rig-";
 
@@ -40,6 +45,9 @@
     pub handover: bool,
     /// What the fleet block says beyond names and addresses; without it the processes have none.
     pub fleet: Option<Value>,
+    /// Others that each process is told of, those that follow it in turn; all unless told. It reaches these alone over
+    /// links: whoever it hears of from them it dials direct.
+    pub told_peers: Option<usize>,
     /// Cores that the processes may run on; any unless told.
     pub cores: Option<String>,
     /// Where the history goes; only into memory unless told.
@@ -55,12 +63,29 @@
             seed: 1,
             handover: false,
             fleet: Some(json!({})),
+            told_peers: None,
             cores: None,
             history: None,
         }
     }
 }
 
+impl Plan {
+    /// The processes that process `i` is told of, in the order of their numbers: those it needs links to.
+    pub fn peers(&self, i: usize) -> Vec<usize> {
+        let others = self.processes.saturating_sub(1);
+        let count = if self.fleet.is_some() { self.told_peers.unwrap_or(others).min(others) } else { 0 };
+        let mut peers: Vec<usize> = (1..=count).map(|step| (i + step) % self.processes).collect();
+        peers.sort_unstable();
+        peers
+    }
+
+    /// Each process with each that it is told of.
+    fn links(&self) -> impl Iterator<Item = (usize, usize)> + '_ {
+        (0..self.processes).flat_map(|i| self.peers(i).into_iter().map(move |j| (i, j)))
+    }
+}
+
 /// Processes of the program under faults.
 pub struct Rig {
     // In this order they end: processes before what they talk to.
@@ -81,7 +106,7 @@
 impl Rig {
     /// Lays all out and starts the stand-ins, but no process yet.
     pub fn new(plan: &Plan) -> io::Result<Rig> {
-        assert!(plan.processes <= crate::ground::MOST_PROCESSES, "{} processes", plan.processes);
+        assert!(plan.processes <= MOST_PROCESSES, "{} processes", plan.processes);
         sweep(&std::env::temp_dir());
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
         let prefix = format!("{FOLDER}{}-", std::process::id());
@@ -91,27 +116,26 @@
             Some(path) => History::to(path)?,
             None => History::default(),
         });
-        let pairs = || {
-            (0..plan.processes).flat_map(|i| (0..plan.processes).map(move |j| (i, j))).filter(|(i, j)| i != j)
-        };
         let mut chance = StdRng::seed_from_u64(plan.seed);
+        // A link has a direction each way, also where only one of the two is told of the other.
+        let pairs: BTreeSet<(usize, usize)> = plan.links().flat_map(|(i, j)| [(i, j), (j, i)]).collect();
         let directions: BTreeMap<(usize, usize), Arc<Direction>> =
-            pairs().map(|pair| (pair, Direction::new(chance.random()))).collect();
-        for (i, j) in pairs() {
+            pairs.into_iter().map(|pair| (pair, Direction::new(chance.random()))).collect();
+        for (i, j) in plan.links() {
             let (forth, back) = (directions[&(i, j)].clone(), directions[&(j, i)].clone());
             runtime.block_on(Link { at: ground.link(i, j), to: ground.fleet(j), forth, back }.open())?;
         }
         let (meter, mut manners, mut hosts) = (Arc::new(Meter::default()), Vec::new(), Vec::new());
         for number in 0..plan.backends {
-            let (at, name) = (ground.stand_in(number + 10), format!("backend-{number}"));
+            let (at, name) = (ground.stand_in(number + FIRST_BACKEND), format!("backend-{number}"));
             let manner = watch::Sender::new(Manner::default());
             hosts.push(member(&name, at, "up"));
             runtime.block_on(backend(at, name, manner.subscribe(), meter.clone(), history.clone()))?;
             manners.push(manner);
         }
         let list = List::new(members(1, true, &hosts));
-        runtime.block_on(discovery(ground.stand_in(1), list.subscribe()))?;
-        runtime.block_on(counter(ground.stand_in(2)))?;
+        runtime.block_on(discovery(ground.stand_in(DISCOVERY), list.subscribe()))?;
+        runtime.block_on(counter(ground.stand_in(COUNTER)))?;
         let mut rig = Rig {
             processes: Vec::new(),
             runtime: Some(runtime),
@@ -154,15 +178,13 @@
         settings["me"] = i.into();
         let mut config = json!({
             "name": name(i), "listen": self.ground.clients(i).to_string(),
-            "discovery": self.ground.stand_in(1).to_string(), "counter": self.ground.stand_in(2).to_string(),
+            "discovery": self.ground.stand_in(DISCOVERY).to_string(), "counter": self.ground.stand_in(COUNTER).to_string(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": *self.list.borrow(),
             "settings": settings, "test": true,
         });
         if let Some(told) = &plan.fleet {
-            let peers: Vec<Value> = (0..plan.processes)
-                .filter(|j| *j != i)
-                .map(|j| json!({"name": name(j), "dial": self.ground.link(i, j).to_string()}))
-                .collect();
+            let peer = |j: usize| json!({"name": name(j), "dial": self.ground.link(i, j).to_string()});
+            let peers: Vec<Value> = plan.peers(i).into_iter().map(peer).collect();
             let mut fleet = json!({
                 "name": "rig", "listen": self.ground.fleet(i).to_string(), "peers": peers,
                 "zone": format!("zone-{}", i % plan.zones.max(1)), "tell_ms": 250,
@@ -256,15 +278,17 @@
 
     // ---- Faults ---------------------------------------------------------------------------------------
 
-    /// The direction from one process to another.
-    pub fn direction(&self, from: usize, to: usize) -> &Direction {
-        &self.directions[&(from, to)]
+    /// The direction from one process to another, if there is a link between them.
+    pub fn direction(&self, from: usize, to: usize) -> Option<&Direction> {
+        self.directions.get(&(from, to)).map(Arc::as_ref)
     }
 
-    /// Sets how a direction carries.
+    /// Sets how a direction carries; where there is no link nothing flows that could be touched.
     pub fn set(&self, from: usize, to: usize, quality: Quality) {
         self.history.note("rig", "link", json!({"from": name(from), "to": name(to), "quality": quality}));
-        self.directions[&(from, to)].set(quality);
+        if let Some(direction) = self.direction(from, to) {
+            direction.set(quality);
+        }
     }
 
     /// Sets how all directions between two sets carry, both ways.
--- a/crates/rig/src/schedule.rs
+++ b/crates/rig/src/schedule.rs
@@ -2,7 +2,7 @@
 
 use crate::check::{self, Violation};
 use crate::history::Event;
-use crate::link::Quality;
+use crate::link::{Direction, Quality};
 use crate::load::Pace;
 use crate::rig::{Plan, Rig};
 use crate::standins::Manner;
@@ -326,6 +326,7 @@
         seed: schedule.seed,
         handover: schedule.handover,
         fleet: schedule.fleet.then(|| json!({})),
+        told_peers: None,
         cores,
         history,
     };
@@ -417,11 +418,13 @@
         Act::Link { from, to, one_way, quality } => links(rig, from, to, *one_way, quality),
         Act::Reset { from, to } if begins => {
             rig.history.note("rig", "reset", json!({"from": from, "to": to}));
-            pairs(from, to, true).into_iter().for_each(|(i, j)| rig.direction(i, j).reset());
+            let directions = pairs(from, to, true).into_iter().filter_map(|(i, j)| rig.direction(i, j));
+            directions.for_each(Direction::reset);
         }
         Act::Halve { from, to, bytes } if begins => {
             rig.history.note("rig", "halve", json!({"from": from, "to": to, "bytes": bytes}));
-            pairs(from, to, true).into_iter().for_each(|(i, j)| rig.direction(i, j).halve(*bytes));
+            let directions = pairs(from, to, true).into_iter().filter_map(|(i, j)| rig.direction(i, j));
+            directions.for_each(|direction| direction.halve(*bytes));
         }
         Act::Reset { .. } | Act::Halve { .. } => {}
         Act::Kill { who, wipe } => {
