--- a/crates/record/src/client.rs
+++ b/crates/record/src/client.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 /// Keepers that a client knows of at most.
-const MOST_KEEPERS: usize = 16;
+const MOST_KEEPERS: usize = 1_024;
 
 /// What came of a write, for whoever asked for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/record/src/keeper/mod.rs
+++ b/crates/record/src/keeper/mod.rs
@@ -443,7 +443,7 @@
 
     /// Whoever asks for nothing long enough is not remembered: names are told by others, and there is no end of lives.
     fn forget_some(&mut self) {
-        const MOST: usize = 256;
+        const MOST: usize = 1_024;
         while self.known.len() > MOST {
             let config = self.config.as_ref();
             let spare =
--- a/src/net/fleet/block.rs
+++ b/src/net/fleet/block.rs
@@ -182,7 +182,7 @@
             zone: self.zone,
             membership: self.membership,
             pace: self.pace,
-            links: within("links", self.links as u64, 1, 256)? as usize,
+            links: within("links", self.links as u64, 1, 4096)? as usize,
             accepted: within("accepted", self.accepted as u64, 1, 4096)? as usize,
             frame_bytes: within("frame_bytes", self.frame_bytes as u64, 4096, 16 << 20)? as usize,
             queue_bytes: within("queue_bytes", self.queue_bytes as u64, 4096, 64 << 20)? as usize,
