--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -143,6 +143,8 @@
     pub way: (Millis, Millis),
     /// How long requests come.
     pub length: Millis,
+    /// Time within which all front doors have heard of a change of the list.
+    pub told_within: Millis,
     /// Part of the warm capacity with which a backend starts, and the time until it has all of it.
     pub cold: (f64, Millis),
     /// Links that a backend's table holds; none are modelled if there is no bound.
@@ -168,6 +170,8 @@
     Start(usize),
     /// A front door is killed and starts again at once, with its last list of backends.
     Restart(usize),
+    /// Requests a second that each front door gets from now on.
+    Rate(f64),
 }
 
 /// What a run gave.
@@ -199,6 +203,8 @@
     pub to_ill: Vec<(u64, u64)>,
     /// Highest load put on a backend in 2 s, over what it could do in them.
     pub peak_over_capacity: f64,
+    /// What came to each backend while it was cold: when, and its work, that of handshakes included.
+    pub cold_work: Vec<Vec<(Millis, f64)>>,
     /// Attempts that crossed zones.
     pub crossings: u64,
     /// Times that a front door set a backend aside: one that is well, and one that is ill or cut off.
@@ -484,6 +490,7 @@
         self.by_id.insert(id, self.nodes.len());
         self.tally.peaks.push(0);
         self.tally.sent_to.push(Vec::new());
+        self.tally.cold_work.push(Vec::new());
         self.tally.lives.push((spec.started.unwrap_or(f64::NEG_INFINITY), f64::INFINITY));
         let (waiting, came) = (VecDeque::new(), VecDeque::new());
         self.nodes.push(Node { spec, id, waiting, working: 0, came, links: 0 });
@@ -1100,6 +1107,7 @@
             came.pop_front();
         }
         if warmth < 1.0 {
+            self.tally.cold_work[node].push((self.now, work));
             let load = came.iter().map(|(_, work)| work).sum::<f64>() / able;
             self.tally.peak_over_capacity = self.tally.peak_over_capacity.max(load);
         }
@@ -1180,6 +1188,7 @@
             }
             Fault::Told(node, state) => self.spread(node, state),
             Fault::Restart(door) => self.restart(door),
+            Fault::Rate(rate) => self.spec.rate = rate,
             Fault::Start(node) => {
                 let spec =
                     BackendSpec { started: Some(self.now), ill: Ill::No, ..self.nodes[node].spec.clone() };
@@ -1199,11 +1208,11 @@
         self.tell(door, Event::Backends(ListKind::Cached, list));
     }
 
-    /// All front doors hear of a state of a backend within the next half second.
+    /// All front doors hear of a state of a backend, each at a time of its own.
     fn spread(&mut self, node: usize, state: Availability) {
         let entry = self.entry(node, state);
         for door in 0..self.doors.len() {
-            let at = self.now + 500.0 * self.chance.even();
+            let at = self.now + self.spec.told_within * self.chance.even();
             self.at(at, What::Told(door, vec![entry]));
         }
     }
--- a/crates/fleet/tests/world.rs
+++ b/crates/fleet/tests/world.rs
@@ -33,6 +33,7 @@
         pauses: vec![(2, 3000.0, 3600.0)],
         way: (0.2, 2.0),
         length: 8000.0,
+        told_within: 500.0,
         cold: (0.25, 8000.0),
         table: Some(12),
         seed,
