Test cold backends that start anew under their old names

A backend that restarts in place is cold, but front doors that have not heard of it take it for warm.

The simulated fleet restarts backends under their ids and keeps, for all that comes to a cold one, whether its sender had been told.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -170,6 +170,8 @@
     Start(usize),
     /// A front door is killed and starts again at once, with its last list of backends.
     Restart(usize),
+    /// A backend starts anew, cold, under its old id; what it had at hand is lost.
+    Reborn(usize),
     /// Requests a second that each front door gets from now on.
     Rate(f64),
 }
@@ -203,8 +205,8 @@
     pub to_ill: Vec<(u64, u64)>,
     /// Highest load put on a backend in 2 s, over what it could do in them.
     pub peak_over_capacity: f64,
-    /// What came to each backend while it was cold: when, and its work, that of handshakes included.
-    pub cold_work: Vec<Vec<(Millis, f64)>>,
+    /// What came to each backend while it was cold, handshakes included.
+    pub cold_work: Vec<Vec<ColdWork>>,
     /// Attempts that crossed zones.
     pub crossings: u64,
     /// Times that a front door set a backend aside: one that is well, and one that is ill or cut off.
@@ -225,6 +227,17 @@
     pub ledger: Ledger,
 }
 
+/// Work that came to a cold backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdWork {
+    /// When.
+    pub at: Millis,
+    /// How much, ms of a core.
+    pub work: f64,
+    /// Whether whoever sent it had been told of the backend's start.
+    pub told: bool,
+}
+
 impl Tally {
     /// Part of the worth asked that was served in time.
     pub fn share(&self) -> f64 {
@@ -376,6 +389,8 @@
     /// Work that came in, by tenth of a second, for the load that a cold one is put under.
     came: VecDeque<(u64, f64)>,
     links: usize,
+    /// Front doors that have been told of its last start.
+    told: Vec<bool>,
 }
 
 struct DoorModel {
@@ -493,7 +508,9 @@
         self.tally.cold_work.push(Vec::new());
         self.tally.lives.push((spec.started.unwrap_or(f64::NEG_INFINITY), f64::INFINITY));
         let (waiting, came) = (VecDeque::new(), VecDeque::new());
-        self.nodes.push(Node { spec, id, waiting, working: 0, came, links: 0 });
+        // Only whoever is told of a new id sends to it.
+        let told = vec![true; self.doors.len()];
+        self.nodes.push(Node { spec, id, waiting, working: 0, came, links: 0, told });
         self.nodes.len() - 1
     }
 
@@ -557,6 +574,10 @@
                     let backend = self.by_id[&entry.id];
                     self.pool(door, |pool, _, acts| pool.gone(backend, acts));
                 }
+                for entry in &entries {
+                    let node = &mut self.nodes[self.by_id[&entry.id]];
+                    node.told[door] |= entry.started == node.spec.started;
+                }
                 self.tell(door, Event::Backends(ListKind::Changes, entries));
             }
             What::Dialled(door, backend, call, answered) => self.dialled(door, backend, call, answered),
@@ -940,7 +961,7 @@
         let full = self.spec.table.is_some_and(|table| node.links >= table);
         let up = answered && node.spec.ill != Ill::Dead && !full;
         let how = if up {
-            self.press(backend, HANDSHAKE);
+            self.press(backend, Some(door), HANDSHAKE);
             self.nodes[backend].links += 1;
             let peak = &mut self.tally.peaks[backend];
             *peak = (*peak).max(self.nodes[backend].links);
@@ -1077,7 +1098,8 @@
             return;
         }
         self.calls[call].reached = true;
-        self.press(node, self.calls[call].work);
+        let from = self.calls[call].from.ok().map(|(door, _)| door);
+        self.press(node, from, self.calls[call].work);
         if let Ill::Errors(part) = self.nodes[node].spec.ill {
             if self.chance.even() < part {
                 self.answer(call, Outcome::Error);
@@ -1093,11 +1115,12 @@
     }
 
     /// Notes the load that a backend is put under, against what it can do.
-    fn press(&mut self, node: usize, work: f64) {
+    fn press(&mut self, node: usize, from: Option<usize>, work: f64) {
         const TENTHS: u64 = 20;
         let (tenth, warmth) = ((self.now / 100.0) as u64, self.warmth(node));
         let spec = &self.nodes[node].spec;
         let able = warmth * spec.cores as f64 * spec.speed * 100.0 * TENTHS as f64;
+        let told = from.is_none_or(|door| self.nodes[node].told[door]);
         let came = &mut self.nodes[node].came;
         match came.back_mut() {
             Some((last, sum)) if *last == tenth => *sum += work,
@@ -1107,7 +1130,7 @@
             came.pop_front();
         }
         if warmth < 1.0 {
-            self.tally.cold_work[node].push((self.now, work));
+            self.tally.cold_work[node].push(ColdWork { at: self.now, work, told });
             let load = came.iter().map(|(_, work)| work).sum::<f64>() / able;
             self.tally.peak_over_capacity = self.tally.peak_over_capacity.max(load);
         }
@@ -1188,6 +1211,15 @@
             }
             Fault::Told(node, state) => self.spread(node, state),
             Fault::Restart(door) => self.restart(door),
+            Fault::Reborn(node) => {
+                self.reset_links(node);
+                let old = &mut self.nodes[node];
+                old.waiting.clear();
+                (old.spec.started, old.spec.ill) = (Some(self.now), Ill::No);
+                old.told = vec![false; self.doors.len()];
+                self.tally.lives[node].0 = self.now;
+                self.spread(node, Availability::Ready);
+            }
             Fault::Rate(rate) => self.spec.rate = rate,
             Fault::Start(node) => {
                 let spec =
