Test cold backends under customers that come again (fails: repeats count as demand)

Red for a real fault: unmarked repeats of refused clients count as demand at every front door they reach, so that cold backends get more than the rule allows where all are cold.

--- a/crates/fleet/tests/cold.rs
+++ b/crates/fleet/tests/cold.rs
@@ -4,6 +4,7 @@
 //! N + 2 sqrt(N) + 2 requests of mean work, where N is the overload factor times what it can do in such a window by then.
 
 use cometspool::*;
+use cometspool_fleet::crowd::{CrowdSpec, Meter};
 use cometspool_fleet::*;
 
 /// Mean work of a request, ms of a core.
@@ -12,6 +13,8 @@
 const CALM: f64 = 0.5;
 const QUIET: f64 = 0.1;
 const BURST: f64 = 3.0;
+/// Part of it that customers ask for within their quotas.
+const OFFERED: f64 = 1.0;
 /// Part of its warm capacity with which a backend starts, and the time until it has all of it.
 const COLD: (f64, Millis) = (0.19, 16_000.0);
 /// By how much a cold backend may be overloaded, and in which time.
@@ -247,3 +250,27 @@
         spec.faults.extend((0..half).map(|i| (3000.0 + 500.0 * i as f64, Fault::Reborn(i))));
     });
 }
+
+/// Customers within their quotas ask for what the backends can do when warm, one of them for as much again, all have just
+/// started, and clients that are refused come again.
+#[test]
+fn customers_that_come_again_push_no_cold_backend_over() {
+    judge("customers", |fleet, spec| {
+        let able = fleet.warm_rate() * fleet.backends as f64;
+        spec.settings.plans = vec![Plan { rate: 5.0, burst: 10.0, ..Plan::default() }];
+        spec.settings.meter_period = 500.0;
+        spec.backends.iter_mut().for_each(|backend| backend.started = Some(0.0));
+        spec.crowd = Some(CrowdSpec {
+            rate: able * OFFERED,
+            shares: vec![1.0],
+            spread: (0.5, 1.0),
+            skew: (0.3, 1.5),
+            shift: (2000.0, 4000.0),
+            kinds: (0.2, 0.1, 0.2),
+            flood: Some((0, 1.0, 2000.0, 7000.0)),
+            late: (420.0, 1400.0),
+            meter: Meter::True,
+            again: (2, 300.0),
+        });
+    });
+}
