--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,5 +16,5 @@
 
 pub use chance::Chance;
 pub use scenario::{BackendSpec, ClassSpec, Fault, Ill, Spec};
-pub use tally::Tally;
+pub use tally::{ColdWork, Tally};
 pub use world::{play, World};
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -26,6 +26,8 @@
     pub pauses: Vec<(usize, Millis, Millis)>,
     /// One way within a zone and between two.
     pub way: (Millis, Millis),
+    /// Time within which all front doors have heard of a change of the list.
+    pub told_within: Millis,
     /// How long requests come.
     pub length: Millis,
     /// Part of the warm capacity with which a backend starts, and the time until it has all of it.
@@ -118,6 +120,10 @@
     Told(usize, Availability),
     /// A backend starts, cold, under a new id.
     Start(usize),
+    /// A backend starts anew, cold, under its old id; what it had at hand is lost.
+    Reborn(usize),
+    /// Requests a second that each front door gets from now on.
+    Rate(f64),
     /// A front door is killed and starts again at once, with its last list of backends.
     Restart(usize),
 }
--- a/crates/fleet/src/tally.rs
+++ b/crates/fleet/src/tally.rs
@@ -46,12 +46,25 @@
     pub peaks: Vec<usize>,
     /// Attempts by backend and second.
     pub sent_to: Vec<Vec<u32>>,
+    /// What came to each backend while it was cold, handshakes included.
+    pub cold_work: Vec<Vec<ColdWork>>,
     /// When each backend started, and until when it took requests.
     pub lives: Vec<(Millis, Millis)>,
     /// What came of the customers' quotas.
     pub ledger: Ledger,
 }
 
+/// Work that came to a cold backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdWork {
+    /// When.
+    pub at: Millis,
+    /// How much, ms of a core.
+    pub work: f64,
+    /// Whether whoever sent it had been told of the backend's start.
+    pub told: bool,
+}
+
 impl Tally {
     /// Part of the worth asked that was served in time.
     pub fn share(&self) -> f64 {
--- a/crates/fleet/src/world/dispatch.rs
+++ b/crates/fleet/src/world/dispatch.rs
@@ -36,6 +36,10 @@
                     let backend = self.by_id[&entry.id];
                     self.pool(door, |pool, _, acts| pool.gone(backend, acts));
                 }
+                for entry in &entries {
+                    let backend = &mut self.backends[self.by_id[&entry.id]];
+                    backend.told[door] |= entry.started == backend.spec.started;
+                }
                 self.notify_door(door, Event::Backends(ListKind::Changes, entries));
             }
             SimEvent::Dialled(door, backend, call, answered) => self.dialled(door, backend, call, answered),
