--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -31,7 +31,7 @@
     pub arrived: Millis,
     pub sends: u32,
     pub out: Vec<Try>,    // two while a second copy runs
-    pub ran: Option<Try>, // the first attempt that ended and may have run
+    pub ran: Option<Try>, // the attempt sent first of those that ended and may have run
     pub started: bool,    // its streamed answer has
     pub answered: bool,   // whatever is still out, its client has its final answer
     pub slow: bool,       // it is known to be
@@ -98,7 +98,7 @@
     }
 
     /// The time of few good answers of a class, moved by one that took `elapsed`.
-    pub fn feel_service(&mut self, class: ClassId, elapsed: Millis) {
+    pub fn observe_service(&mut self, class: ClassId, elapsed: Millis) {
         let quick = self.quick.entry(class).or_insert(Quantile::new(elapsed / 2.0));
         quick.feed(elapsed, QUICKEST, QUICK_STEP);
     }
@@ -111,16 +111,12 @@
         self.fits(now, live) && self.retries >= 1.0 && live.sends < self.terms.set.max_attempts
     }
 
-    /// How long an attempt is waited for that should take `expected`. Guards against one that hangs and eats
-    /// the whole of its request's time: what may be repeated is given up while another attempt still has the
-    /// time that this one had. The last attempt gets all that is left.
+    /// How long an attempt that should take `expected` is waited for. One that may be repeated is given up
+    /// while another still has as much time, so that a hung one does not use all; the last gets the rest.
     pub fn patience(&self, now: Millis, live: &Live, expected: Millis, calm: bool) -> Millis {
         let class = self.class(live);
-        let again = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed { group: Group::All, memory } => memory > class.aim,
-            _ => false,
-        };
+        let again = matches!(class.effect, Effect::Safe)
+            || matches!(class.effect, Effect::Keyed { group: Group::All, memory } if memory > class.aim);
         let limit = (HUNG * expected).max(HUNG_AIMS * class.aim);
         let fits = 2.0 * limit <= self.cut(live) - now && live.sends + 1 < self.terms.set.max_attempts;
         if again && fits && calm && self.retries >= 1.0 {
@@ -132,23 +128,28 @@
 
     /// Guards against connections that are dead unseen, in pools or between: a request that must not be run
     /// again is lost with each. Others can be repeated; caution costs each the time of a way there and back.
-    pub fn care(&self, now: Millis, live: &Live) -> Care {
+    pub fn delivery(&self, now: Millis, live: &Live) -> DeliveryMode {
         match self.class(live).effect {
-            Effect::Unsafe => Care::Once,
-            _ if now - self.broke_at < CAUTION_AIMS * self.terms.aim => Care::Proof,
-            _ => Care::Usual,
+            Effect::Unsafe => DeliveryMode::Once,
+            _ if now - self.broke_at < CAUTION_AIMS * self.terms.aim => DeliveryMode::Cautious,
+            _ => DeliveryMode::Normal,
         }
     }
 
+    /// When the key of what has run is forgotten, an attempt that is out being taken to run.
+    pub fn key_expires(&self, live: &Live) -> Option<Millis> {
+        let Effect::Keyed { memory, .. } = self.class(live).effect else { return None };
+        let first = live.ran.iter().chain(&live.out).map(|sent| sent.at).reduce(f64::min)?;
+        Some(first + memory - 2.0 * self.terms.set.tick)
+    }
+
     /// Where a request may be sent after what has happened to it, an attempt that is out being taken to run.
     pub fn reach(&self, now: Millis, live: &Live) -> Reach {
         let Some(ran) = live.ran.as_ref().or(live.out.first()) else { return Reach::Anywhere };
         match self.class(live).effect {
             Effect::Safe => Reach::Anywhere,
             Effect::Unsafe => Reach::Nowhere,
-            Effect::Keyed { memory, .. } if now >= ran.at + memory - 2.0 * self.terms.set.tick => {
-                Reach::Nowhere
-            }
+            _ if self.key_expires(live).is_some_and(|expires| now >= expires) => Reach::Nowhere,
             Effect::Keyed { group: Group::All, .. } => Reach::Anywhere,
             Effect::Keyed { group: Group::Zone, .. } => Reach::Zone(ran.zone),
             Effect::Keyed { group: Group::Cell, .. } => Reach::Cell(ran.cell),
