--- a/crates/fleet/src/world/backends.rs
+++ b/crates/fleet/src/world/backends.rs
@@ -3,6 +3,7 @@
 use super::schedule::SimEvent;
 use super::World;
 use crate::scenario::{BackendSpec, Ill};
+use crate::tally::ColdWork;
 use cometspool::{Availability, BackendEntry, BackendId, CellId, Outcome, ZoneId};
 use std::collections::VecDeque;
 
@@ -18,6 +19,8 @@
     /// Work that came in, by tenth of a second, for the load that a cold one is put under.
     came: VecDeque<(u64, f64)>,
     pub(super) links: usize,
+    /// Front doors that have been told of its last start.
+    pub(super) told: Vec<bool>,
 }
 
 impl World {
@@ -30,9 +33,12 @@
         self.by_id.insert(id, self.backends.len());
         self.tally.peaks.push(0);
         self.tally.sent_to.push(Vec::new());
+        self.tally.cold_work.push(Vec::new());
         self.tally.lives.push((spec.started.unwrap_or(f64::NEG_INFINITY), f64::INFINITY));
         let (waiting, came) = (VecDeque::new(), VecDeque::new());
-        self.backends.push(Backend { spec, id, waiting, working: 0, came, links: 0 });
+        // Only whoever is told of a new id sends to it.
+        let told = vec![true; self.doors.len()];
+        self.backends.push(Backend { spec, id, waiting, working: 0, came, links: 0, told });
         self.backends.len() - 1
     }
 
@@ -69,7 +75,8 @@
             return;
         }
         self.calls[call].reached = true;
-        self.record_load(node, self.calls[call].work);
+        let from = self.calls[call].from.ok().map(|(door, _)| door);
+        self.record_load(node, from, self.calls[call].work);
         if let Ill::Errors(part) = self.backends[node].spec.ill {
             if self.chance.even() < part {
                 self.answer(call, Outcome::Error);
@@ -84,8 +91,9 @@
         self.start_work(node);
     }
 
-    /// Notes the load that a backend is put under, against what it can do.
-    pub(super) fn record_load(&mut self, node: usize, work: f64) {
+    /// Notes the load that a backend is put under, by a front door or another backend, against what it can do.
+    pub(super) fn record_load(&mut self, node: usize, from: Option<usize>, work: f64) {
+        let told = from.is_none_or(|door| self.backends[node].told[door]);
         let (tenth, warmth) = ((self.now / 100.0) as u64, self.warmth(node));
         let spec = &self.backends[node].spec;
         let able = warmth * spec.cores as f64 * spec.speed * 100.0 * LOAD_TENTHS as f64;
@@ -100,6 +108,7 @@
         if warmth < 1.0 {
             let load = came.iter().map(|(_, work)| work).sum::<f64>() / able;
             self.tally.peak_over_capacity = self.tally.peak_over_capacity.max(load);
+            self.tally.cold_work[node].push(ColdWork { at: self.now, work, told });
         }
     }
 
