--- a/crates/fleet/src/world/links.rs
+++ b/crates/fleet/src/world/links.rs
@@ -96,7 +96,7 @@
         let full = self.spec.table.is_some_and(|table| node.links >= table);
         let up = answered && node.spec.ill != Ill::Dead && !full;
         let how = if up {
-            self.record_load(backend, HANDSHAKE);
+            self.record_load(backend, Some(door), HANDSHAKE);
             self.backends[backend].links += 1;
             let peak = &mut self.tally.peaks[backend];
             *peak = (*peak).max(self.backends[backend].links);
