--- a/crates/fleet/tests/cold.rs
+++ b/crates/fleet/tests/cold.rs
@@ -3,9 +3,11 @@
 //! The rule: while a backend is cold it gets, in any window of the time that the settings name, work for at most
 //! N + 2 sqrt(N) + 2 requests of mean work, where N is the overload factor times what it can do in such a window by then.
 
+mod common;
+
 use cometspool::*;
-use cometspool_fleet::crowd::{CrowdSpec, Meter};
 use cometspool_fleet::*;
+use common::flooding_customers;
 
 /// Mean work of a request, ms of a core.
 const WORK: f64 = 150.0;
@@ -260,17 +262,6 @@
         spec.settings.plans = vec![Plan { rate: 5.0, burst: 10.0, ..Plan::default() }];
         spec.settings.meter_period = 500.0;
         spec.backends.iter_mut().for_each(|backend| backend.started = Some(0.0));
-        spec.crowd = Some(CrowdSpec {
-            rate: able * OFFERED,
-            shares: vec![1.0],
-            spread: (0.5, 1.0),
-            skew: (0.3, 1.5),
-            shift: (2000.0, 4000.0),
-            kinds: (0.2, 0.1, 0.2),
-            flood: Some((0, 1.0, 2000.0, 7000.0)),
-            late: (420.0, 1400.0),
-            meter: Meter::True,
-            again: (2, 300.0),
-        });
+        spec.crowd = Some(flooding_customers(able * OFFERED));
     });
 }
--- a/crates/fleet/tests/world.rs
+++ b/crates/fleet/tests/world.rs
@@ -1,8 +1,10 @@
 //! The simulated fleet: what its figures rest on.
 
+mod common;
+
 use cometspool::*;
-use cometspool_fleet::crowd::{CrowdSpec, Meter};
 use cometspool_fleet::*;
+use common::flooding_customers;
 
 fn spec(seed: u64) -> Spec {
     let class = Class { aim: 1200.0, deadline: 3000.0, effect: Effect::Safe, ..Class::default() };
@@ -73,18 +75,7 @@
         let ceiling = Ceiling { rate: 20.0, burst: 40.0, slack: 4.0 };
         let plan =
             Plan { rate: 10.0, burst: 20.0, over_cost: 0.5, ceiling: Some(ceiling), ..Plan::default() };
-        let crowd = CrowdSpec {
-            rate: 150.0,
-            shares: vec![1.0],
-            spread: (0.5, 1.0),
-            skew: (0.3, 1.5),
-            shift: (2000.0, 4000.0),
-            kinds: (0.2, 0.1, 0.2),
-            flood: Some((0, 1.0, 2000.0, 7000.0)),
-            late: (420.0, 1400.0),
-            meter: Meter::True,
-            again: (2, 300.0),
-        };
+        let crowd = flooding_customers(150.0);
         let mut spec = spec(seed);
         spec.faults = (0..14).map(|door| (4000.0, Fault::Restart(door))).collect();
         spec.settings = Settings { plans: vec![plan], meter_period: 500.0, ..spec.settings };
--- a/crates/rig/src/hand.rs
+++ b/crates/rig/src/hand.rs
@@ -4,6 +4,7 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::{json, Value};
+use socket2::SockRef;
 use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -223,6 +224,11 @@
         self.write(format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()));
     }
 
+    /// Its close will be a reset.
+    pub fn reset_on_close(&self) {
+        SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+
     /// Waits until the other end says something; nothing within `time`, or its end, is false.
     pub fn hears(&self, time: Duration) -> bool {
         let stream = self.reader.get_ref();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -3,7 +3,6 @@
 
 use cometspool_rig::hand::*;
 use serde_json::Value;
-use socket2::SockRef;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -31,7 +30,7 @@
     };
     let pairs: Vec<(SocketAddr, SocketAddr)> = clients.iter().map(ends).collect();
     for client in clients.iter().filter(|_| matches!(how, Leaves::Resets)) {
-        SockRef::from(client.reader.get_ref()).set_linger(Some(Duration::ZERO)).expect("a socket");
+        client.reset_on_close();
     }
     drop(clients);
     wait_for("the end of connections", || (!connected(&pairs)).then_some(()));
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -2,7 +2,6 @@
 //! byte, any other where its connection ends in order. What is cut or too long reaches no client as an answer.
 
 use cometspool_rig::hand::*;
-use socket2::SockRef;
 use std::io::Read;
 use std::time::{Duration, Instant};
 
@@ -12,7 +11,7 @@
 const HEAD: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\nApi-Usage: 12\r\n\r\n";
 
 fn reset(wire: Wire) {
-    SockRef::from(wire.reader.get_ref()).set_linger(Some(Duration::ZERO)).expect("a socket");
+    wire.reset_on_close();
 }
 
 /// A client's request that has reached the only backend whole.
