--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -169,6 +169,10 @@
         if completed.outcome == Outcome::Ok {
             let elapsed = completed.elapsed.max(0.0);
             self.retry.observe_service_time(request.class, elapsed);
+            let objective = self.context.class(request.class).latency_objective;
+            if now - pending.arrived_at <= objective {
+                self.load_balancer.record_served(now, request.units);
+            }
             if !pending.is_slow {
                 let slow_after = self.slow_at(pending) - pending.arrived_at;
                 let elapsed = now - pending.arrived_at;
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -1,23 +1,20 @@
 //! Load balancing: the subset of the backends that a gateway keeps to, and the selection of one for a request.
 
 use super::backends::{Backend, BackendSet, MIN_SUBSET};
+use super::demand::{Demand, HALFLIVES_PER_WARM_UP};
 use super::outlier_detection::NEGLIGIBLE_FAULT;
 use super::pending::PendingRequest;
 use super::retry::RetryScope;
 use super::PolicyContext;
-use crate::measure::{uniform, Cewma};
+use crate::measure::uniform;
 use crate::policy_api::*;
 use rand_pcg::Pcg32;
-use std::f64::consts::LN_2;
 use std::sync::Arc;
 
 /// Gateways that meet each backend at least; so a few gateways meet all backends.
 const GATEWAYS_PER_BACKEND: f64 = 4.0;
 /// Fraction of the subset by which a backend that is kept may lie beside it.
 const SUBSET_SLACK: f64 = 0.25;
-/// Halflives of the demand's average in the time in which a backend warms up. In one of them a connection that is
-/// opened ahead has to be used, and about one backend beside the subset is given up.
-const HALFLIVES_PER_WARM_UP: f64 = 4.0;
 /// Own load at each backend up to which it shows little of how busy the backend is: the units earned decide.
 const SPARSE_LOAD: f64 = 0.2;
 /// Power by which these stop deciding beyond it.
@@ -30,6 +27,7 @@
 const NON_IDEMPOTENT_DISTRUST: f64 = 2.0;
 /// Least capacity of a subset, in warm backends of weight 1: a divisor must not be zero.
 const MIN_CAPACITY: f64 = 0.01;
+
 /// Least demand that the time to the next request is reckoned with, units a second.
 const MIN_DEMAND: f64 = 1e-6;
 
@@ -53,13 +51,6 @@
     pub backends: &'a BackendSet,
 }
 
-/// This gateway's demand, in units a second.
-struct Demand {
-    total: f64,
-    /// What a warm backend of weight 1 gets of it.
-    even_rate: f64,
-}
-
 /// A backend that may be selected.
 struct Candidate {
     cost: Millis,
@@ -69,8 +60,7 @@
 /// Keeps to a subset of the backends and selects among them.
 pub(super) struct LoadBalancer {
     context: Arc<PolicyContext>,
-    /// Units within the quotas that are to be forwarded.
-    demand: Cewma,
+    demand: Demand,
     /// The subset, as of `updated_at`.
     subset: Vec<BackendId>,
     updated_at: Millis,
@@ -81,22 +71,41 @@
 impl LoadBalancer {
     pub(super) fn new(context: Arc<PolicyContext>) -> LoadBalancer {
         LoadBalancer {
+            demand: Demand::new(context.clone()),
             context,
-            demand: Cewma::default(),
             subset: Vec::new(),
             updated_at: 0.0,
             preconnects: Vec::new(),
         }
     }
 
-    /// Records units within the quotas that are to be forwarded.
-    pub(super) fn record_demand(&mut self, now: Millis, units: f64) {
-        self.demand.record(now, units, self.demand_decay_rate());
+    /// Records a request within the quotas.
+    pub(super) fn record_demand(&mut self, now: Millis, request: &Request) {
+        self.demand.record(now, request);
+    }
+
+    /// Records that a request within the quotas is rejected for want of capacity.
+    pub(super) fn record_rejection(&mut self, now: Millis) {
+        self.demand.record_rejection(now);
+    }
+
+    /// Records units that were served within their latency objective.
+    pub(super) fn record_served(&mut self, now: Millis, units: f64) {
+        self.demand.record_served(now, units);
     }
 
-    /// Decay rate of the demand's average, 1/ms.
-    fn demand_decay_rate(&self) -> f64 {
-        LN_2 / (self.context.settings.warm_up / HALFLIVES_PER_WARM_UP).max(1.0)
+    /// How little this gateway's own load at each of `count` backends shows of how busy they are, from 0 to 1.
+    fn sparsity(&self, now: Millis, count: usize, backends: &BackendSet) -> f64 {
+        let load = self.demand.offered_rate(now) * backends.mean_unit_time() / 1000.0;
+        let load_each = load / count.max(1) as f64;
+        1.0 / (1.0 + (load_each / SPARSE_LOAD).powi(SPARSE_LOAD_POWER))
+    }
+
+    /// The part of the load on `count` backends that this gateway cannot judge by its own load there: what other
+    /// gateways send, as far as its own load shows little.
+    fn unseen_load(&self, now: Millis, count: usize, backends: &BackendSet) -> f64 {
+        let elsewhere = 1.0 - 1.0 / self.context.gateways;
+        elsewhere * self.sparsity(now, count, backends)
     }
 
     /// The backend with the least expected cost: one of the subset if any may be sent the request.
@@ -110,11 +119,9 @@
         if request.scope == RetryScope::Nowhere {
             return None;
         }
-        let total = self.demand.rate(request.now, self.demand_decay_rate());
-        let even_rate = total / self.capacity(request.now, backends, &subset);
-        let demand = Demand { total, even_rate };
-        self.least_cost(request, &demand, &subset, rng)
-            .or_else(|| self.least_cost(request, &demand, &backends.ready, rng))
+        let even_rate = self.even_rate(request, &subset);
+        self.least_cost(request, even_rate, &subset, rng)
+            .or_else(|| self.least_cost(request, even_rate, &backends.ready, rng))
     }
 
     /// The subset of the backends, as indices, that a gateway with these `members` keeps to.
@@ -189,7 +196,7 @@
     }
 
     fn preconnect_new_members(&mut self, now: Millis, subset: &[usize], backends: &BackendSet) {
-        let demand = self.demand.rate(now, self.demand_decay_rate());
+        let demand = self.demand.offered_rate(now);
         let demand_each = demand / subset.len().max(1) as f64;
         let within = 1000.0 / demand_each.max(MIN_DEMAND);
         if within >= self.context.settings.warm_up / HALFLIVES_PER_WARM_UP {
@@ -204,34 +211,47 @@
         }
     }
 
-    /// Capacity of a subset, in warm backends of weight 1. Backends that warm up get less, so the others get more,
-    /// but never so much that one would be overloaded where all warm up.
-    fn capacity(&self, now: Millis, backends: &BackendSet, subset: &[usize]) -> f64 {
+    /// Units a second that a warm backend of weight 1 gets from this gateway. Backends that warm up get less, so the
+    /// others get more, but never so much that one would be overloaded where all warm up.
+    fn even_rate(&self, request: &SelectionRequest, subset: &[usize]) -> f64 {
         let settings = &self.context.settings;
+        let now = request.now;
         let mut weight = 0.0;
         let mut capacity = 0.0;
         for index in subset {
-            let entry = &backends.all[*index].entry;
+            let entry = &request.backends.all[*index].entry;
             weight += entry.weight;
             capacity += entry.weight * settings.slow_start_fraction(now, entry);
         }
-        let least = weight / settings.overload_factor.max(1.0);
-        f64::max(capacity, least).max(MIN_CAPACITY)
+        let unseen = self.unseen_load(now, subset.len(), request.backends);
+        let limit = self.forwarding_limit(now, unseen) / f64::max(weight, MIN_CAPACITY);
+        let rate = self.demand.offered_rate(now) / f64::max(capacity, MIN_CAPACITY);
+        rate.min(limit)
     }
 
-    /// Of these backends, the one with the least expected cost.
+    /// Units a second at most that warm backends would get. A backend that warms up bears its fraction of the whole
+    /// capacity, times the overload factor, but demand may exceed that capacity. Where this gateway cannot judge the
+    /// load, the factor counts only for what backends have served, and requests that come again count once.
+    fn forwarding_limit(&self, now: Millis, unseen: f64) -> f64 {
+        let factor = self.context.settings.overload_factor.max(1.0);
+        let most = factor * self.demand.offered_rate(now);
+        let served = factor * self.demand.served_rate(now);
+        let proven = served.max(self.demand.distinct_rate(now)).min(most);
+        most - unseen * (most - proven)
+    }
+
+    /// Of these backends, the one with the least expected cost, where a warm backend of weight 1 gets `even_rate` units
+    /// a second.
     fn least_cost(
         &self,
         request: &SelectionRequest,
-        demand: &Demand,
+        even_rate: f64,
         indices: &[usize],
         rng: &mut Pcg32,
     ) -> Option<Selection> {
         let backends = request.backends;
         let unit_time = backends.mean_unit_time();
-        let load = demand.total * unit_time / 1000.0;
-        let load_each = load / indices.len().max(1) as f64;
-        let budget_value = unit_time / (1.0 + (load_each / SPARSE_LOAD).powi(SPARSE_LOAD_POWER));
+        let budget_value = unit_time * self.sparsity(request.now, indices.len(), backends);
         let has_ejections = indices
             .iter()
             .any(|index| backends.all[*index].faults.has_ejections());
@@ -239,11 +259,11 @@
         let mut best: Option<Candidate> = None;
         for index in indices {
             let backend = &backends.all[*index];
-            let budget = self.available_budget(request, backend, demand.even_rate);
+            let budget = self.available_budget(request, backend, even_rate);
             if !self.may_select(request, backend, budget, respects_ejections) {
                 continue;
             }
-            let selection = self.selection(request, backend, demand.even_rate);
+            let selection = self.selection(request, backend, even_rate);
             let jitter = 1.0 + COST_JITTER * uniform(rng);
             let cost = self.cost(request, backend, &selection) * jitter - budget_value * budget;
             if best.as_ref().is_none_or(|best| cost < best.cost) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! - Admission: [`quota`], with the figures of [`local_quota`], the evidence of [`usage`], the penalty box of
 //!   [`rate_limit`] and the shares of [`concurrency`], under the window that [`overload`] leaves open.
-//! - Selection: [`load_balancing`] selects one of the [`backends`], within what [`slow_start`] and
+//! - Selection: [`load_balancing`] selects one of the [`backends`], by the [`demand`] and within what [`slow_start`] and
 //!   [`outlier_detection`] permit.
 //! - Attempts: [`retry`] bounds those of the [`pending`] requests, [`attempts`] sends and ends them, and [`timers`]
 //!   names what is to happen later.
@@ -12,6 +12,7 @@
 mod attempts;
 mod backends;
 mod concurrency;
+mod demand;
 mod load_balancing;
 mod local_quota;
 mod outlier_detection;
@@ -206,13 +207,14 @@
         self.window.observe_queue_delay(now, least_delay);
         let signals = self.admission_signals(now);
         self.quotas.admit(now, request, &signals)?;
-        self.load_balancer.record_demand(now, request.units);
+        self.load_balancer.record_demand(now, request);
         let selection = self
             .select_backend(now, pending)
-            .ok_or(Rejection::new(RejectReason::NoCapacity))?;
-        if self.is_too_late(now, pending, &selection) {
+            .filter(|selection| !self.is_too_late(now, pending, selection));
+        let Some(selection) = selection else {
+            self.load_balancer.record_rejection(now);
             return Err(Rejection::new(RejectReason::NoCapacity));
-        }
+        };
         self.quotas.take(now, request);
         Ok(selection)
     }
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -3,6 +3,7 @@
 mod common;
 use cometspool::*;
 use common::*;
+use std::collections::VecDeque;
 
 #[test]
 fn warming_backend_gets_its_slow_start_share_without_an_initial_burst() {
@@ -135,3 +136,71 @@
     let ratio = (taken[1] / 36.0) / (taken[0] / 24.0);
     assert!((0.3..=0.75).contains(&ratio), "{ratio}: {taken:?}");
 }
+
+/// Requests that may arrive, one every 50 ms, until a late answer comes.
+const LATE_ANSWER: u32 = 30;
+
+/// Requests that a gateway sends while all its backends warm up and answer too late. A client that marks its retries
+/// sends ten requests a second, and between them as many `others`: retries or further requests.
+fn sent_while_warming(others: Option<Other>) -> u32 {
+    let warming = |id| BackendEntry {
+        started_at: Some(0.0),
+        ..ready(id, 0)
+    };
+    let gateway_settings = Settings {
+        start_capacity: 0.2,
+        warm_up: 10_000.0,
+        ..settings(generous_plan(), 300)
+    };
+    let backends = (0..16).map(warming).collect();
+    let mut gateway = GatewayFixture::new(gateway_settings, backends);
+    let mut in_flight = VecDeque::new();
+    let mut sent = 0;
+    for i in 0..200 {
+        let now = f64::from(i) * 50.0;
+        while in_flight
+            .front()
+            .is_some_and(|(id, _)| id + LATE_ANSWER < i)
+        {
+            let (id, backend) = in_flight.pop_front().unwrap();
+            gateway.complete(now, id, 0, backend, Outcome::Ok);
+        }
+        let is_other = i % 2 == 1;
+        if is_other && others.is_none() {
+            continue;
+        }
+        let request = Request {
+            // The first request shows that the client marks its retries.
+            is_retry: i == 0 || (is_other && others == Some(Other::Retries)),
+            ..request(i, 0, now)
+        };
+        if let Some(backend) = gateway.arrive(now, request) {
+            sent += 1;
+            in_flight.push_back((i, backend));
+        }
+    }
+    sent
+}
+
+/// What a client sends besides its requests.
+#[derive(Clone, Copy, PartialEq)]
+enum Other {
+    Retries,
+    Requests,
+}
+
+/// Guards against retries that count as further demand, by which warming backends are sent what exceeds their capacity.
+#[test]
+fn marked_retries_do_not_raise_what_warming_backends_get() {
+    let without = sent_while_warming(None);
+    let with_retries = sent_while_warming(Some(Other::Retries));
+    let with_requests = sent_while_warming(Some(Other::Requests));
+    assert!(
+        f64::from(with_retries) <= 1.1 * f64::from(without),
+        "{with_retries} with retries, {without} without"
+    );
+    assert!(
+        f64::from(with_requests) >= 1.3 * f64::from(without),
+        "{with_requests} with as many requests again, {without} without"
+    );
+}
