--- a/crates/fault-injection/src/scripted_peers/mod.rs
+++ b/crates/fault-injection/src/scripted_peers/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The gateway is the built program in a process of its own ([`GatewayProcess`]); all traffic runs over loopback
 //! sockets. A scripted peer reads a request before it responds: a response that comes before its request makes an HTTP
-//! client close the connection. Nothing here sleeps. Whatever does not happen within [`MAX_WAIT`] fails the test with a
-//! panic.
+//! client close the connection. A wait polls with pauses and ends with what it waits for. Whatever does not happen within
+//! [`MAX_WAIT`] fails the test with a panic.
 
 mod connection;
 mod fixture;
@@ -30,7 +30,15 @@
 /// The longest time that a test waits for an event. An event that takes longer counts as one that never comes.
 pub const MAX_WAIT: Duration = Duration::from_secs(30);
 
-/// Polls `probe` until it returns a value.
+/// The shortest pause between two probes.
+const MIN_PAUSE: Duration = Duration::from_millis(1);
+/// The longest pause between two probes.
+const MAX_PAUSE: Duration = Duration::from_millis(20);
+/// The pause after a probe, as a multiple of the time that the probe took: many tests that wait leave the processors to
+/// the processes that they wait for.
+const PAUSE_FACTOR: u32 = 4;
+
+/// Polls `probe` until it returns a value, with a pause after each time.
 ///
 /// # Panics
 ///
@@ -38,10 +46,12 @@
 pub fn wait_for<T>(what: &str, mut probe: impl FnMut() -> Option<T>) -> T {
     let deadline = Instant::now() + MAX_WAIT;
     loop {
+        let started = Instant::now();
         if let Some(found) = probe() {
             return found;
         }
         assert!(Instant::now() < deadline, "timed out waiting for {what}");
-        std::thread::yield_now();
+        let pause = started.elapsed() * PAUSE_FACTOR;
+        std::thread::sleep(pause.clamp(MIN_PAUSE, MAX_PAUSE));
     }
 }
--- a/crates/fault-injection/src/scripted_peers/socket_table.rs
+++ b/crates/fault-injection/src/scripted_peers/socket_table.rs
@@ -1,12 +1,25 @@
-//! States of TCP sockets as the system's table (`/proc/net/tcp`) shows them.
+//! States of TCP sockets, asked of the system over netlink (`sock_diag(7)`).
+//!
+//! The system sends only the sockets that are asked for, so that a look costs little where other programs have tens of
+//! thousands of connections; the text of `/proc/net/tcp` would have to be written and read whole each time.
 
-use std::collections::HashSet;
+use netlink_packet_core::{
+    NetlinkHeader, NetlinkMessage, NetlinkPayload, NLM_F_DUMP, NLM_F_REQUEST,
+};
+use netlink_packet_sock_diag::constants::{AF_INET, IPPROTO_TCP, TCP_ESTABLISHED, TCP_SYN_SENT};
+use netlink_packet_sock_diag::inet::{
+    ExtensionFlags, InetRequest, InetResponseHeader, SocketId, StateFlags,
+};
+use netlink_packet_sock_diag::SockDiagMessage;
+use netlink_sys::protocols::NETLINK_SOCK_DIAG;
+use netlink_sys::Socket;
+use std::io;
 use std::net::SocketAddr;
 
-/// The table's code for an established connection.
-const ESTABLISHED: &str = "01";
-/// The table's code for a connection attempt without an answer yet.
-const SYN_SENT: &str = "02";
+/// The cookie of a request for a socket whose own cookie is unknown.
+const ANY_COOKIE: [u8; 8] = [0xff; 8];
+/// The error of the system for a socket that does not exist.
+const NO_SUCH_SOCKET: io::ErrorKind = io::ErrorKind::NotFound;
 
 /// The addresses of the two ends of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -17,53 +30,90 @@
     pub remote: SocketAddr,
 }
 
-/// Both ends of a socket, in the notation of the table.
-#[derive(PartialEq, Eq, Hash)]
-struct TableEntry {
-    local: String,
-    remote: String,
-}
-
 /// Whether any process has a connection attempt to this address that the system has not answered yet.
 pub fn is_connecting(address: SocketAddr) -> bool {
-    let remote = table_notation(address);
-    sockets_in_state(SYN_SENT)
-        .iter()
-        .any(|entry| entry.remote == remote)
+    let request = InetRequest {
+        states: StateFlags::SYN_SENT,
+        ..any_socket()
+    };
+    sockets(request, NLM_F_DUMP).iter().any(|socket| {
+        let id = &socket.socket_id;
+        let remote = SocketAddr::new(id.destination_address, id.destination_port);
+        socket.state == TCP_SYN_SENT && remote == address
+    })
 }
 
 /// Whether any of these connections is established, that is, neither closed nor reset at its local end.
 pub fn any_established(connections: &[ConnectionEnds]) -> bool {
-    let established = sockets_in_state(ESTABLISHED);
-    connections.iter().any(|ends| {
-        established.contains(&TableEntry {
-            local: table_notation(ends.local),
-            remote: table_notation(ends.remote),
-        })
-    })
+    connections.iter().any(|ends| is_established(*ends))
 }
 
-fn sockets_in_state(state: &str) -> HashSet<TableEntry> {
-    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table of sockets");
-    let entry = |line: &str| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        (fields.len() > 3 && fields[3] == state).then(|| TableEntry {
-            local: fields[1].to_owned(),
-            remote: fields[2].to_owned(),
-        })
+fn is_established(ends: ConnectionEnds) -> bool {
+    let socket_id = SocketId {
+        source_port: ends.local.port(),
+        destination_port: ends.remote.port(),
+        source_address: ends.local.ip(),
+        destination_address: ends.remote.ip(),
+        interface_id: 0,
+        cookie: ANY_COOKIE,
+    };
+    let request = InetRequest {
+        socket_id,
+        ..any_socket()
     };
-    table.lines().filter_map(entry).collect()
+    sockets(request, 0)
+        .iter()
+        .any(|socket| socket.state == TCP_ESTABLISHED)
 }
 
-/// An address in the notation of the table. The IP address is part of it: other programs on this machine may have the
-/// same ports on other addresses.
-fn table_notation(address: SocketAddr) -> String {
-    let SocketAddr::V4(address) = address else {
-        panic!("{address} is not in the table of IPv4 sockets")
-    };
-    format!(
-        "{:08X}:{:04X}",
-        u32::from_ne_bytes(address.ip().octets()),
-        address.port()
-    )
+/// A request for all TCP sockets over IPv4.
+fn any_socket() -> InetRequest {
+    InetRequest {
+        family: AF_INET,
+        protocol: IPPROTO_TCP,
+        extensions: ExtensionFlags::empty(),
+        states: StateFlags::all(),
+        socket_id: SocketId::new_v4(),
+    }
+}
+
+/// The sockets that a request asks for: one by its ends, or all in some states with the flag [`NLM_F_DUMP`].
+fn sockets(request: InetRequest, flags: u16) -> Vec<InetResponseHeader> {
+    let mut socket = Socket::new(NETLINK_SOCK_DIAG).expect("a netlink socket");
+    socket.bind_auto().expect("a netlink address");
+    let message = encode(request, NLM_F_REQUEST | flags);
+    socket.send(&message, 0).expect("a request sent");
+    let mut found = Vec::new();
+    loop {
+        let (datagram, _) = socket.recv_from_full().expect("an answer");
+        let mut rest = &datagram[..];
+        while !rest.is_empty() {
+            let message = NetlinkMessage::<SockDiagMessage>::deserialize(rest).expect("a message");
+            rest = &rest[(message.header.length as usize).min(rest.len())..];
+            match message.payload {
+                NetlinkPayload::InnerMessage(SockDiagMessage::InetResponse(response)) => {
+                    found.push(response.header);
+                    if flags & NLM_F_DUMP == 0 {
+                        return found;
+                    }
+                }
+                NetlinkPayload::Error(error) => {
+                    let error = error.to_io();
+                    assert_eq!(error.kind(), NO_SUCH_SOCKET, "{error}");
+                    return found;
+                }
+                _ => return found,
+            }
+        }
+    }
+}
+
+fn encode(request: InetRequest, flags: u16) -> Vec<u8> {
+    let mut header = NetlinkHeader::default();
+    header.flags = flags;
+    let mut message = NetlinkMessage::new(header, SockDiagMessage::InetRequest(request).into());
+    message.finalize();
+    let mut bytes = vec![0; message.buffer_len()];
+    message.serialize(&mut bytes);
+    bytes
 }
--- a/crates/fault-injection/tests/link_faults.rs
+++ b/crates/fault-injection/tests/link_faults.rs
@@ -14,6 +14,8 @@
 
 /// The longest wait for an event that must happen.
 const MAX_WAIT: Duration = Duration::from_secs(30);
+/// The pause between two attempts to connect.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// The time in which nothing may arrive; too short a time would only make a test weaker.
 const SILENCE: Duration = Duration::from_millis(300);
 /// Datagrams of one run: enough that a fault with a fraction affects neither none nor all of them.
@@ -334,6 +336,7 @@
                 "timed out waiting for a rejected connection"
             ),
         }
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
     link.outbound.set_conditions(LinkConditions::default());
     while TcpStream::connect(link.proxy_address).await.is_err() {
@@ -341,6 +344,7 @@
             Instant::now() < deadline,
             "timed out waiting for a proxy that listens again"
         );
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
--- a/src/net/upstream/attempt/tests.rs
+++ b/src/net/upstream/attempt/tests.rs
@@ -291,7 +291,7 @@
         let (mut stream, _) = listener.accept().await.expect("the dial");
         // Until the pool knows of the connection, too.
         while transport.connections.idle_connections(BACKEND) == 0 {
-            tokio::task::yield_now().await;
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
         let (result, ()) = tokio::join!(send(), respond(&mut stream, "kept"));
         assert_eq!(result.body, "kept");
