--- a/src/net/driver/endpoints.rs
+++ b/src/net/driver/endpoints.rs
@@ -3,9 +3,9 @@
 //! The table gives names their ids, and guards against lists that are stale, endpoints that share an address, and
 //! clocks that disagree.
 //!
-//! Bounds: ids and address owners are kept for listed endpoints. Future incarnations are too; one that is reported
-//! together with a removal stays until the next full list. Ended incarnations are kept for listed endpoints, and for
-//! others as long as there are no more than [`MAX_ENDED_INCARNATIONS`] in all when the next list comes.
+//! Bounds: ids, address owners and future incarnations are kept for listed endpoints. Ended incarnations are kept for
+//! listed endpoints, and for others as long as there are no more than [`MAX_ENDED_INCARNATIONS`] in all when the next
+//! list comes.
 
 use crate::net::control::discovery::EndpointUpdate;
 use crate::net::control::endpoint_list::{Endpoint, EndpointList, Health};
@@ -179,12 +179,15 @@
             Health::Removed => {
                 self.connections.remove_endpoint(id);
                 self.ids.remove(&endpoint.name);
-                self.future_incarnations.remove(&id);
                 Availability::Removed
             }
         };
         let has_start = endpoint.started_at_ms > 0.0;
         let started_at = has_start.then(|| self.plausible_start(id, endpoint.started_at_ms));
+        if availability == Availability::Removed {
+            // Its entry still tells the start that the policy knows.
+            self.future_incarnations.remove(&id);
+        }
         BackendEntry {
             id,
             zone: self.zone_id(&endpoint.zone),
@@ -195,6 +198,12 @@
         }
     }
 
+    /// The number of starts in the future that are kept.
+    #[cfg(test)]
+    pub(super) fn future_incarnation_count(&self) -> usize {
+        self.future_incarnations.len()
+    }
+
     /// The id of a zone by its name; the largest id for one that the settings do not name.
     fn zone_id(&self, name: &str) -> ZoneId {
         let name = settings::normalize_name(name);
--- a/src/net/driver/tests/endpoints.rs
+++ b/src/net/driver/tests/endpoints.rs
@@ -3,7 +3,7 @@
 use super::fixture::{advance, endpoint, incoming, run, settings, start_driver, IDEMPOTENT};
 use super::scripted_backends::ScriptedBackends;
 use crate::net::control::discovery::{EndpointObserver, EndpointUpdate};
-use crate::net::control::endpoint_list::{Endpoint, EndpointList};
+use crate::net::control::endpoint_list::{Endpoint, EndpointList, Health};
 use crate::net::downstream::connections::RequestHandler;
 use crate::net::driver::endpoints::hash_name;
 use crate::net::driver::Driver;
@@ -110,3 +110,28 @@
     };
     driver.endpoints_updated(&list, EndpointUpdate::Current);
 }
+
+/// Guards memory against endpoints whose clocks are ahead: what is kept of their starts is bounded by the list, however
+/// often it changes.
+#[test]
+fn starts_in_the_future_are_kept_for_listed_endpoints_only() {
+    const CHANGES: u32 = 100_000;
+    const LISTED: u32 = 10;
+    run(async {
+        let driver = start_driver(settings(false), 1, 0, &ScriptedBackends::scripted(&[]));
+        let ahead = driver.context.clock.now() + 3_600_000.0;
+        let mut table = driver.endpoints.borrow_mut();
+        let mut apply = |number: u32, health: Health| {
+            let endpoint = endpoint(&format!("s-{number}"), 1, ahead);
+            table.apply_endpoint(&Endpoint { health, ..endpoint });
+            table.future_incarnation_count()
+        };
+        for number in 0..CHANGES / 2 {
+            apply(number, Health::Up);
+            if number >= LISTED {
+                let kept = apply(number - LISTED, Health::Removed);
+                assert!(kept <= LISTED as usize, "{kept} after {number}");
+            }
+        }
+    });
+}
