--- a/src/policy/backends.rs
+++ b/src/policy/backends.rs
@@ -195,10 +195,11 @@
             return false;
         };
         let backend = &self.all[index];
-        backend
-            .in_flight
-            .get(&request)
-            .is_some_and(|attempt| self.overdue_within_class(now, backend, attempt) > 0.0)
+        match backend.in_flight.get(&request) {
+            Some(attempt) => self.overdue_within_class(now, backend, attempt) > 0.0,
+            // It was sent to an incarnation that has ended.
+            None => true,
+        }
     }
 
     /// Whether so many backends are ejected that ejection is to be ignored.
@@ -229,14 +230,15 @@
         let Some(index) = self.find(completed.backend) else {
             return actions;
         };
-        let attempt = self.all[index].in_flight.remove(&request.id);
+        // What was sent to an earlier incarnation says nothing of this one.
+        let Some(attempt) = self.all[index].in_flight.remove(&request.id) else {
+            return actions;
+        };
         let evidence = self.evidence(now, index, attempt, completed.outcome);
         if suggests_broken_connections(completed.outcome, &evidence) {
             actions.push(Action::CloseIdleConnections(completed.backend));
         }
-        if let Some(attempt) = attempt {
-            self.observe_unit_time(index, &attempt, completed, &evidence);
-        }
+        self.observe_unit_time(index, &attempt, completed, &evidence);
         let backend = &mut self.all[index];
         backend.answered_at.entry(request.class).or_insert(now);
         backend.last_outcome_at = now;
@@ -260,15 +262,14 @@
         &self,
         now: Millis,
         index: usize,
-        attempt: Option<InFlight>,
+        attempt: InFlight,
         outcome: Outcome,
     ) -> AttemptEvidence {
         let backend = &self.all[index];
         AttemptEvidence {
             timed_out: matches!(outcome, Outcome::Timeout | Outcome::Cancelled),
-            was_hanging: attempt
-                .is_some_and(|attempt| self.overdue_within_class(now, backend, &attempt) > 0.0),
-            was_silent: attempt.is_some_and(|attempt| attempt.sent_at >= backend.last_outcome_at),
+            was_hanging: self.overdue_within_class(now, backend, &attempt) > 0.0,
+            was_silent: attempt.sent_at >= backend.last_outcome_at,
         }
     }
 
@@ -298,13 +299,13 @@
         &mut self,
         now: Millis,
         index: usize,
-        attempt: Option<InFlight>,
+        attempt: InFlight,
         outcome: Outcome,
         rng: &mut Pcg32,
     ) {
         let meeting_gateways = self.meeting_gateways();
         let faults = &mut self.all[index].faults;
-        let is_trial = attempt.is_some_and(|attempt| faults.is_trial(attempt.sent_at));
+        let is_trial = faults.is_trial(attempt.sent_at);
         match outcome {
             Outcome::Error if is_trial || faults.is_outlier(now) => {
                 let duration = faults.next_ejection_time(meeting_gateways, rng);
@@ -339,7 +340,8 @@
             .collect();
     }
 
-    /// Takes one entry of the list. A backend that has restarted keeps only its attempts in flight.
+    /// Takes one entry of the list. A backend that has restarted keeps nothing: attempts that were sent to its earlier
+    /// incarnation count neither as its load nor, when they end, for or against it.
     fn update_entry(&mut self, now: Millis, entry: BackendEntry, rng: &mut Pcg32) {
         let entry = BackendEntry {
             weight: in_range(entry.weight, MIN_WEIGHT, MAX_WEIGHT, 1.0),
@@ -355,10 +357,7 @@
             Ok(index) if self.all[index].entry.started_at == entry.started_at => {
                 self.all[index].entry = entry;
             }
-            Ok(index) => {
-                let in_flight = std::mem::take(&mut self.all[index].in_flight);
-                self.all[index] = Backend { in_flight, ..fresh };
-            }
+            Ok(index) => self.all[index] = fresh,
             Err(index) => self.all.insert(index, fresh),
         }
     }
--- a/tests/outlier_detection.rs
+++ b/tests/outlier_detection.rs
@@ -205,3 +205,51 @@
     }
     assert!(shared > 20, "the other class avoids it: {shared} of 100");
 }
+
+/// Requests of the second phase, to three idle backends, that the first gets after it has restarted with attempts in
+/// flight, which then end like this.
+fn sent_to_restarted_backend(outcome: Outcome) -> u32 {
+    let mut gateway = GatewayFixture::new(
+        settings(generous_plan(), 1),
+        (1..=3).map(|id| ready(id, 0)).collect(),
+    );
+    let mut in_flight = Vec::new();
+    for i in 0..60u32 {
+        let now = f64::from(i) * 20.0;
+        match gateway.arrive(now, request(i, 2, now)) {
+            Some(BackendId(1)) => in_flight.push(i),
+            Some(at) => {
+                gateway.complete(now + 10.0, i, 0, at, Outcome::Ok);
+            }
+            None => {}
+        }
+    }
+    assert!(!in_flight.is_empty(), "nothing was sent to it");
+    let restarted = BackendEntry {
+        started_at: Some(-1e6),
+        ..ready(1, 0)
+    };
+    let list = Event::EndpointsChanged(ListKind::Changes, vec![restarted]);
+    gateway.handle(1200.0, list);
+    for id in in_flight {
+        gateway.complete(1201.0, id, 0, BackendId(1), outcome);
+    }
+    let mut sent = 0;
+    for i in 100..250u32 {
+        let now = 1210.0 + f64::from(i - 100) * 20.0;
+        if let Some(at) = gateway.arrive(now, request(i, 2, now)) {
+            sent += u32::from(at == BackendId(1));
+            gateway.complete(now + 10.0, i, 0, at, Outcome::Ok);
+        }
+    }
+    sent
+}
+
+/// Guards a backend that has restarted against the outcomes of attempts that its earlier incarnation got.
+#[test]
+fn attempts_to_an_earlier_incarnation_do_not_count_against_its_successor() {
+    for outcome in [Outcome::Error, Outcome::Timeout, Outcome::Reset] {
+        let sent = sent_to_restarted_backend(outcome);
+        assert!(sent >= 35, "{outcome:?}: {sent} of 150 for one of three");
+    }
+}
