Bound the memory that all clients make a gateway hold

Cause: head and body of one request were limited, all requests together were not.

Change: ClientMemory reserves read buffers, bodies, read-ahead and responses of clients from two budgets, where the bytes come in; a connection reads no further than memory is reserved for it. Short requests need no reservation. When memory is short, connections that have held it for 0.1 s and send nothing are closed; after 1 s of waiting a request is answered with 503. Pending requests and bodies no longer keep the read buffers that they came in. The memory budget of long responses moves to runtime/memory.rs and is shared.

Why it works: the bound is on the sum and is kept before bytes are read, not on one request; a body keeps its reservation until its last attempt ends, also after its client left.

--- a/crates/fault-injection/src/scripted_peers/gateway_process.rs
+++ b/crates/fault-injection/src/scripted_peers/gateway_process.rs
@@ -111,7 +111,8 @@
         GatewayProcess::start_with_limits(limits, settings, discovery, known)
     }
 
-    fn start_with_limits(
+    /// Starts the program with the `limits` object of its configuration.
+    pub fn start_with_limits(
         limits: Value,
         settings: Value,
         discovery: SocketAddr,
@@ -225,6 +226,18 @@
             .count()
     }
 
+    /// The anonymous memory that the process has resident, in KiB; this excludes the pages of the program's file.
+    pub fn resident_kib(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process");
+        let value = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"))
+            .expect("a running process");
+        let number = value.split_whitespace().next().expect("a number");
+        number.parse().expect("KiB")
+    }
+
     fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("a running process");
     }
--- a/src/net/control/config/limits.rs
+++ b/src/net/control/config/limits.rs
@@ -15,6 +15,13 @@
     pub memory_mb: usize,
 }
 
+impl Limits {
+    /// Memory limit of the process, in bytes.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        self.memory_mb << 20
+    }
+}
+
 /// Memory that every deployment has at least, in MiB.
 fn default_memory_mb() -> usize {
     32
--- a/src/net/downstream/connections.rs
+++ b/src/net/downstream/connections.rs
@@ -5,13 +5,19 @@
 //! | `state` | the state of one connection, with its timestamps |
 //! | `io` | the socket as hyper uses it: records when bytes arrive, and enforces the write deadline |
 //! | `service` | serves one connection: passes its requests to the [`RequestHandler`] and writes the answers |
+//! | `memory` | the memory that clients make the gateway hold |
+//! | `read_ahead` | pipelined bytes behind a request |
+//! | `body` | reads request bodies and hands over response bodies within that memory |
 //! | `response` | builds the HTTP responses |
 //! | `eviction`, `eviction_rank` | which connection is closed for a new one at the connection limit |
 //! | `shutdown` | graceful shutdown |
 
+mod body;
 mod eviction;
 mod eviction_rank;
 mod io;
+mod memory;
+mod read_ahead;
 mod response;
 mod service;
 mod shutdown;
@@ -21,6 +27,7 @@
 use crate::net::runtime::capacity::{client_connection_limit, ACCEPT_RETRY_DELAY};
 use crate::net::runtime::context::RuntimeContext;
 use cometspool::{Millis, RequestId};
+use memory::ClientMemory;
 use shutdown::ShutdownPhase;
 use state::{CloseMode, ConnectionState};
 use std::cell::{Cell, RefCell};
@@ -60,6 +67,7 @@
     context: Rc<RuntimeContext>,
     /// Maximum number of open connections.
     limit: usize,
+    memory: ClientMemory,
     /// The open connections. The key numbers the connections in the order in which they were accepted.
     open: RefCell<HashMap<u64, Rc<ConnectionState>>>,
     /// Number of connections accepted since the start, which is also the key of the latest one in `open`.
@@ -74,16 +82,19 @@
 
 impl DownstreamConnections {
     /// Creates the registry of the connections whose requests `handler` answers. The connection limit follows from
-    /// `descriptors`, the number of file descriptors that clients and backends may use.
+    /// `descriptors`, the number of file descriptors that clients and backends may use, and the limits on what clients
+    /// make the gateway hold from `memory`, the memory limit of the process in bytes.
     pub(crate) fn new(
         handler: Rc<dyn RequestHandler>,
         context: Rc<RuntimeContext>,
         descriptors: usize,
+        memory: usize,
     ) -> Rc<DownstreamConnections> {
         Rc::new(DownstreamConnections {
             handler,
             context,
             limit: client_connection_limit(descriptors),
+            memory: ClientMemory::new(memory),
             open: RefCell::default(),
             accepted: Cell::new(0),
             closed: Notify::new(),
@@ -106,7 +117,11 @@
     }
 
     fn register_and_serve(self: &Rc<Self>, stream: TcpStream) {
-        let connection = Rc::new(ConnectionState::new(self.context.clock.now(), stream));
+        let connection = Rc::new(ConnectionState::new(
+            self.context.clock.now(),
+            stream,
+            self.memory.request_budget(),
+        ));
         let number = self.accepted.get() + 1;
         self.accepted.set(number);
         self.open.borrow_mut().insert(number, connection.clone());
--- /dev/null
+++ b/src/net/downstream/connections/memory.rs
@@ -0,0 +1,292 @@
+//! The memory that clients make the gateway hold: read buffers, request bodies, and responses that are being written.
+//!
+//! Each connection may hold a little without a reservation: a small read buffer, a short body and a short response. All
+//! beyond that is reserved from one budget for requests and one for responses. When a budget does not suffice, a
+//! connection reads or writes no further until memory has been returned, and the connections that have held the most
+//! memory for the longest time are closed. A request that has been read completely keeps its memory until its last
+//! attempt has ended, and its connection is not closed for memory before it has been answered.
+
+use super::state::{CloseMode, ConnectionState};
+use super::DownstreamConnections;
+use crate::net::runtime::capacity::{request_memory, response_memory, CONNECTION_BUFFER_BYTES};
+use crate::net::runtime::memory::{MemoryBudget, OutOfMemory, Reservation};
+use cometspool::Millis;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Maximum size of a read buffer for which no memory is reserved, in bytes.
+pub(super) const SMALL_READ_BUFFER_BYTES: usize = 4 * 1024;
+/// Memory reserved for a larger read buffer, in bytes. Its capacity grows by half beyond [`CONNECTION_BUFFER_BYTES`].
+pub(super) const LARGE_READ_BUFFER_BYTES: usize = CONNECTION_BUFFER_BYTES * 3 / 2;
+/// How long to wait for the memory of closed connections before further connections are closed.
+const EVICTION_WAIT: Duration = Duration::from_millis(20);
+/// How long a connection may hold memory before it can be closed for that, in milliseconds. A client that sends or reads
+/// at full speed needs it for less.
+pub(super) const HOLDING_GRACE: Millis = 100.0;
+/// How long a connection waits for memory, in milliseconds.
+const MAX_MEMORY_WAIT: Millis = 1000.0;
+
+/// What memory is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum MemoryUse {
+    /// Read buffers and request bodies.
+    Request,
+    /// Responses that are being written.
+    Response,
+}
+
+/// The memory for all connections.
+pub(super) struct ClientMemory {
+    requests: SharedBudget,
+    responses: SharedBudget,
+}
+
+/// A budget, and the memory that connections wait for.
+struct SharedBudget {
+    budget: MemoryBudget,
+    waiting_bytes: Cell<usize>,
+}
+
+impl SharedBudget {
+    fn new(bytes: usize) -> SharedBudget {
+        SharedBudget {
+            budget: MemoryBudget::new(bytes),
+            waiting_bytes: Cell::new(0),
+        }
+    }
+}
+
+impl ClientMemory {
+    /// The shares of client connections in a process with `memory` bytes.
+    pub(super) fn new(memory: usize) -> ClientMemory {
+        ClientMemory {
+            requests: SharedBudget::new(request_memory(memory)),
+            responses: SharedBudget::new(response_memory(memory)),
+        }
+    }
+
+    /// The budget of request memory.
+    pub(super) fn request_budget(&self) -> &MemoryBudget {
+        &self.requests.budget
+    }
+
+    fn shared_budget(&self, usage: MemoryUse) -> &SharedBudget {
+        match usage {
+            MemoryUse::Request => &self.requests,
+            MemoryUse::Response => &self.responses,
+        }
+    }
+}
+
+/// The memory that one connection holds beyond what needs no reservation.
+#[derive(Debug, Default)]
+pub(super) struct ConnectionMemory {
+    /// Bytes read from the client since the last complete request.
+    received_bytes: Cell<usize>,
+    /// The reservation of a large read buffer. It is held until the connection ends, since hyper keeps the buffer.
+    read_buffer: RefCell<Option<Reservation>>,
+    /// Memory reserved for the body that is being read, in bytes.
+    body_bytes: Cell<usize>,
+    /// Memory reserved for the response that is being written, in bytes.
+    response_bytes: Cell<usize>,
+    /// When memory was reserved last.
+    reserved_at: Cell<Millis>,
+    /// Whether the connection waits for memory.
+    is_waiting: Cell<bool>,
+}
+
+impl ConnectionMemory {
+    /// How many bytes may be read into the read buffer now; 0 if memory has to be reserved first.
+    pub(super) fn readable_bytes(&self) -> usize {
+        if self.has_large_read_buffer() {
+            return usize::MAX;
+        }
+        SMALL_READ_BUFFER_BYTES.saturating_sub(self.received_bytes.get())
+    }
+
+    /// Records that bytes were read into the read buffer.
+    pub(super) fn record_received(&self, bytes: usize) {
+        let total = self.received_bytes.get().saturating_add(bytes);
+        self.received_bytes.set(total);
+    }
+
+    /// Records that a request is complete, so that the next bytes belong to another one.
+    pub(super) fn request_completed(&self) {
+        self.received_bytes.set(0);
+        self.body_bytes.set(0);
+    }
+
+    /// Whether a large read buffer is reserved.
+    pub(super) fn has_large_read_buffer(&self) -> bool {
+        self.read_buffer.borrow().is_some()
+    }
+
+    /// Keeps the reservation of a large read buffer.
+    pub(super) fn set_read_buffer(&self, now: Millis, reservation: Reservation) {
+        self.reserved_at.set(now);
+        self.read_buffer.replace(Some(reservation));
+    }
+
+    /// Records the memory that is reserved for the body that is being read.
+    pub(super) fn set_body_bytes(&self, now: Millis, bytes: usize) {
+        self.reserved_at.set(now);
+        self.body_bytes.set(bytes);
+    }
+
+    /// Records the memory that is reserved for the response that is being written.
+    pub(super) fn set_response_bytes(&self, now: Millis, bytes: usize) {
+        self.reserved_at.set(now);
+        self.response_bytes.set(bytes);
+    }
+
+    /// Records that the response has been written.
+    pub(super) fn response_written(&self) {
+        self.response_bytes.set(0);
+    }
+
+    /// Whether the connection waits for memory.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.is_waiting.get()
+    }
+
+    /// When memory was reserved last.
+    pub(super) fn reserved_at(&self) -> Millis {
+        self.reserved_at.get()
+    }
+
+    /// The memory of this use that is returned when the connection is closed, in bytes.
+    pub(super) fn held_bytes(&self, usage: MemoryUse) -> usize {
+        match usage {
+            MemoryUse::Request => {
+                let read_buffer = self.read_buffer.borrow();
+                read_buffer.as_ref().map_or(0, Reservation::bytes) + self.body_bytes.get()
+            }
+            MemoryUse::Response => self.response_bytes.get(),
+        }
+    }
+}
+
+/// How a connection may be closed for its memory.
+pub(super) struct MemoryEviction {
+    pub(super) mode: CloseMode,
+    /// How long the connection has held its memory, or has been idle, in milliseconds.
+    pub(super) held_for: Millis,
+}
+
+/// A connection that may be closed to get its memory back.
+struct MemoryHolder {
+    connection: Rc<ConnectionState>,
+    close_mode: CloseMode,
+    held_bytes: usize,
+    /// The product of the held bytes and the time for which they have been held.
+    byte_millis: f64,
+}
+
+impl DownstreamConnections {
+    /// Reserves memory for `connection`, and closes connections to get it if the budget does not suffice.
+    ///
+    /// # Errors
+    ///
+    /// [`OutOfMemory`] if the memory cannot be had within [`MAX_MEMORY_WAIT`].
+    pub(super) async fn reserve_memory(
+        &self,
+        connection: &ConnectionState,
+        usage: MemoryUse,
+        bytes: usize,
+    ) -> Result<Reservation, OutOfMemory> {
+        let shared = self.memory.shared_budget(usage);
+        if let Ok(reservation) = shared.budget.try_reserve(bytes) {
+            return Ok(reservation);
+        }
+        let _waiting = MemoryWait::begin(&shared.waiting_bytes, connection.memory(), bytes);
+        let give_up_at = self.context.clock.now() + MAX_MEMORY_WAIT;
+        let mut reserving = std::pin::pin!(shared.budget.reserve(bytes));
+        loop {
+            let now = self.context.clock.now();
+            if now >= give_up_at {
+                return Err(OutOfMemory);
+            }
+            self.evict_for_memory(usage, now);
+            if let Ok(reserved) = tokio::time::timeout(EVICTION_WAIT, reserving.as_mut()).await {
+                return reserved;
+            }
+        }
+    }
+
+    /// Closes connections until the memory that they return covers what connections wait for, as far as there are any
+    /// that may be closed.
+    fn evict_for_memory(&self, usage: MemoryUse, now: Millis) {
+        let waiting_bytes = self.memory.shared_budget(usage).waiting_bytes.get();
+        let mut missing = waiting_bytes.saturating_sub(self.closing_bytes(usage));
+        for holder in self.memory_holders(usage, now) {
+            if missing == 0 {
+                break;
+            }
+            holder.connection.request_close(holder.close_mode);
+            missing = missing.saturating_sub(holder.held_bytes);
+        }
+    }
+
+    /// The memory that connections return whose close has been requested.
+    fn closing_bytes(&self, usage: MemoryUse) -> usize {
+        let open = self.open.borrow();
+        let closing = open.values().filter(|connection| connection.is_closing());
+        closing
+            .map(|connection| connection.memory().held_bytes(usage))
+            .sum()
+    }
+
+    /// The connections that may be closed for their memory, those that have held the most for the longest time first.
+    fn memory_holders(&self, usage: MemoryUse, now: Millis) -> Vec<MemoryHolder> {
+        let mut holders = Vec::new();
+        for connection in self.open.borrow().values() {
+            let held_bytes = connection.memory().held_bytes(usage);
+            if held_bytes == 0 {
+                continue;
+            }
+            let Some(eviction) = connection.memory_eviction(now) else {
+                continue;
+            };
+            holders.push(MemoryHolder {
+                connection: connection.clone(),
+                close_mode: eviction.mode,
+                held_bytes,
+                byte_millis: held_bytes as f64 * eviction.held_for,
+            });
+        }
+        holders.sort_by(|a, b| b.byte_millis.total_cmp(&a.byte_millis));
+        holders
+    }
+}
+
+/// The wait of a connection for memory. Dropping it ends the wait.
+struct MemoryWait<'a> {
+    waiting_bytes: &'a Cell<usize>,
+    connection: &'a ConnectionMemory,
+    bytes: usize,
+}
+
+impl<'a> MemoryWait<'a> {
+    fn begin(
+        waiting_bytes: &'a Cell<usize>,
+        connection: &'a ConnectionMemory,
+        bytes: usize,
+    ) -> MemoryWait<'a> {
+        waiting_bytes.set(waiting_bytes.get() + bytes);
+        connection.is_waiting.set(true);
+        MemoryWait {
+            waiting_bytes,
+            connection,
+            bytes,
+        }
+    }
+}
+
+impl Drop for MemoryWait<'_> {
+    fn drop(&mut self) {
+        let others = self.waiting_bytes.get() - self.bytes;
+        self.waiting_bytes.set(others);
+        self.connection.is_waiting.set(false);
+    }
+}
--- a/src/net/downstream/connections/service.rs
+++ b/src/net/downstream/connections/service.rs
@@ -5,7 +5,7 @@
 use super::shutdown::ShutdownPhase;
 use super::state::{CloseMode, ConnectionState, REQUEST_READ_TIMEOUT};
 use super::{DownstreamConnections, RequestHandler};
-use crate::net::downstream::request::{read_body, read_head, RequestError};
+use crate::net::downstream::request::{read_head, RequestError};
 use crate::net::messages::{Answer, ClientConnection};
 use crate::net::runtime::capacity::CONNECTION_BUFFER_BYTES;
 use cometspool::{Millis, RequestId};
@@ -34,7 +34,7 @@
             connections: &self,
             number,
         };
-        let io = TokioIo::new(ConnectionIo::new(state.clone(), self.context.clone()));
+        let io = TokioIo::new(ConnectionIo::new(state.clone(), self.clone()));
         let service = service_fn(|request| {
             let connections = self.clone();
             let state = state.clone();
@@ -76,7 +76,7 @@
             response::health(self.handler.is_ready())
         } else {
             match self.handle(request, state).await {
-                Ok(answer) => response::answer(answer),
+                Ok(answer) => response::answer(self.reserve_response(answer, state).await),
                 Err(error) => {
                     // After an invalid request, the following bytes cannot be trusted to begin a new request.
                     close = true;
@@ -103,10 +103,14 @@
         let started_at = state.request_started_at();
         let (head, body) = request.into_parts();
         let mut incoming = read_head(&self.context, &head, started_at, state.clone())?;
+        let method = head.method.clone();
+        // The headers refer to the read buffer, which must not be held while the request waits.
+        drop(head);
         let budget_end = incoming.budget.end();
         let read_by = budget_end.min(state.timeout_started_at() + REQUEST_READ_TIMEOUT);
         let read_by = self.context.clock.instant_at(read_by);
-        incoming.upstream_request.body = read_body(body, &head.method, read_by).await?;
+        let body = self.read_body(body, &method, state, read_by).await?;
+        incoming.upstream_request.body = body;
         incoming.received_at = state.last_byte_at();
         state.request_completed();
         state.set_write_deadline(budget_end + LATE_RESPONSE_GRACE);
--- a/src/net/downstream/connections/state.rs
+++ b/src/net/downstream/connections/state.rs
@@ -3,12 +3,13 @@
 //! All times are [`Millis`] on the gateway's clock.
 
 use super::eviction_rank::{EvictionKind, EvictionRank};
+use super::memory::{ConnectionMemory, MemoryEviction, HOLDING_GRACE};
+use super::read_ahead::ReadAhead;
 use crate::net::messages::ClientConnection;
-use crate::net::runtime::capacity::CONNECTION_BUFFER_BYTES;
+use crate::net::runtime::memory::MemoryBudget;
 use cometspool::Millis;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -43,15 +44,13 @@
 }
 
 /// The state of one client connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConnectionState {
     /// `None` once the connection has been closed.
     socket: RefCell<Option<TcpStream>>,
-    /// Pipelined bytes that were read behind a request that awaits its response, at most [`CONNECTION_BUFFER_BYTES`].
-    read_ahead: RefCell<VecDeque<u8>>,
-    /// Whether bytes that did not fit into `read_ahead` were dropped. The bytes after them can then not be trusted to
-    /// begin a request.
-    read_ahead_overflowed: Cell<bool>,
+    /// Pipelined bytes that were read behind a request that awaits its response.
+    read_ahead: RefCell<ReadAhead>,
+    memory: ConnectionMemory,
     accepted_at: Millis,
     /// When the first byte of the request that is being read arrived; `None` if no request is being read.
     first_byte_at: Cell<Option<Millis>>,
@@ -70,15 +69,28 @@
 }
 
 impl ConnectionState {
-    /// Creates the state of a connection that was accepted at `now`.
-    pub(super) fn new(now: Millis, stream: TcpStream) -> ConnectionState {
+    /// Creates the state of a connection that was accepted at `now`. Memory for its requests is reserved from
+    /// `request_budget`.
+    pub(super) fn new(
+        now: Millis,
+        stream: TcpStream,
+        request_budget: &MemoryBudget,
+    ) -> ConnectionState {
         // A failure is ignored: without TCP_NODELAY responses may be delayed, but they are correct.
         let _ = stream.set_nodelay(true);
         ConnectionState {
+            socket: RefCell::new(Some(stream)),
+            read_ahead: RefCell::new(ReadAhead::new(request_budget.clone())),
+            memory: ConnectionMemory::default(),
             accepted_at: now,
+            first_byte_at: Cell::default(),
             last_byte_at: Cell::new(now),
-            socket: RefCell::new(Some(stream)),
-            ..ConnectionState::default()
+            awaits_response: Cell::default(),
+            response_unwritten: Cell::default(),
+            last_response_at: Cell::default(),
+            close_requested: Cell::default(),
+            close_signal: Notify::default(),
+            write_deadline: Cell::default(),
         }
     }
 
@@ -100,24 +112,24 @@
         self.socket.borrow_mut().take();
     }
 
-    /// Moves bytes that were read ahead to `buf`. Returns whether there were any.
-    pub(super) fn take_read_ahead(&self, buf: &mut ReadBuf<'_>) -> bool {
-        let mut read_ahead = self.read_ahead.borrow_mut();
-        let (front, _) = read_ahead.as_slices();
-        let count = front.len().min(buf.remaining());
-        buf.put_slice(&front[..count]);
-        read_ahead.drain(..count);
-        count > 0
+    /// Moves at most `limit` bytes that were read ahead to `buf`. Returns whether there were any.
+    pub(super) fn take_read_ahead(&self, buf: &mut ReadBuf<'_>, limit: usize) -> bool {
+        self.read_ahead.borrow_mut().take(buf, limit)
     }
 
     /// Whether bytes behind a request were dropped because the read-ahead buffer was full.
     pub(super) fn read_ahead_overflowed(&self) -> bool {
-        self.read_ahead_overflowed.get()
+        self.read_ahead.borrow().has_overflowed()
     }
 
     /// Whether the next byte of the stream was dropped, so that nothing more can be read from the connection.
     pub(super) fn next_byte_was_dropped(&self) -> bool {
-        self.read_ahead_overflowed.get() && self.read_ahead.borrow().is_empty()
+        self.read_ahead.borrow().next_byte_was_dropped()
+    }
+
+    /// The memory that the connection holds.
+    pub(super) fn memory(&self) -> &ConnectionMemory {
+        &self.memory
     }
 
     /// Whether unread bytes have arrived on the socket. This asks the operating system, since the runtime polls for
@@ -131,17 +143,6 @@
         peeked.is_ok_and(|count| count > 0)
     }
 
-    /// Stores as many bytes that were read ahead as fit into the buffer, and drops the rest.
-    fn store_read_ahead(&self, bytes: &[u8]) {
-        let mut read_ahead = self.read_ahead.borrow_mut();
-        let free = CONNECTION_BUFFER_BYTES - read_ahead.len();
-        let fitting = bytes.len().min(free);
-        read_ahead.extend(&bytes[..fitting]);
-        if fitting < bytes.len() {
-            self.read_ahead_overflowed.set(true);
-        }
-    }
-
     // ---- Request progress -----------------------------------------------------------------------
 
     /// Records that bytes of a request arrived at `at`.
@@ -156,6 +157,7 @@
     pub(super) fn request_completed(&self) {
         self.awaits_response.set(true);
         self.first_byte_at.set(None);
+        self.memory.request_completed();
     }
 
     /// Records that the response is ready to be written.
@@ -168,6 +170,7 @@
     /// Records that the response has been written completely.
     pub(super) fn response_written(&self) {
         self.response_unwritten.set(false);
+        self.memory.response_written();
     }
 
     /// When the first byte of the current request arrived. If the request arrived in the same read as the previous one,
@@ -199,7 +202,7 @@
     // ---- Timeouts, eviction and closing ---------------------------------------------------------
 
     /// Whether a response is awaited or being written.
-    fn is_busy(&self) -> bool {
+    pub(super) fn is_busy(&self) -> bool {
         self.awaits_response.get() || self.response_unwritten.get()
     }
 
@@ -246,6 +249,36 @@
         Some(EvictionRank { kind, age })
     }
 
+    /// How the connection may be closed at `now` to get its memory back. `None` if it must not be closed for that: its
+    /// request awaits a response, it has held its memory for a short time only, bytes have arrived that the gateway has
+    /// memory for and has not read yet, or the connection is already closing.
+    pub(super) fn memory_eviction(&self, now: Millis) -> Option<MemoryEviction> {
+        if self.awaits_response.get() || self.close_requested.get().is_some() {
+            return None;
+        }
+        let is_idle = !self.is_busy()
+            && self.last_response_at.get().is_some()
+            && self.first_byte_at.get().is_none();
+        if is_idle {
+            return (!self.has_unread_bytes()).then(|| MemoryEviction {
+                mode: CloseMode::Graceful,
+                held_for: now - self.timeout_started_at(),
+            });
+        }
+        let held_for = now - self.memory.reserved_at();
+        let is_stalled =
+            self.response_unwritten.get() || self.memory.is_waiting() || !self.has_unread_bytes();
+        (held_for >= HOLDING_GRACE && is_stalled).then_some(MemoryEviction {
+            mode: CloseMode::Immediate,
+            held_for,
+        })
+    }
+
+    /// Whether a close has been requested that does not wait for a response.
+    pub(super) fn is_closing(&self) -> bool {
+        self.close_requested.get().is_some() && !self.awaits_response.get()
+    }
+
     /// Requests that the task that serves the connection closes it.
     pub(super) fn request_close(&self, mode: CloseMode) {
         self.close_requested.set(Some(mode));
@@ -263,8 +296,8 @@
     /// Asks the operating system, since the runtime polls for input only between two rounds of its tasks. A disconnect
     /// is thus seen before a request of the same client is sent in the same round.
     ///
-    /// Pipelined bytes behind the request would hide the end of the stream, so they are read ahead. Bytes beyond
-    /// [`CONNECTION_BUFFER_BYTES`] are dropped.
+    /// Pipelined bytes behind the request would hide the end of the stream, so they are read ahead. Those that
+    /// do not fit into the read-ahead buffer are dropped.
     fn is_disconnected(&self) -> bool {
         let socket = self.socket.borrow();
         let Some(stream) = socket.as_ref() else {
@@ -274,7 +307,7 @@
         for _ in 0..READ_AHEAD_MAX_READS {
             match (&*SockRef::from(stream)).read(&mut chunk) {
                 Ok(0) => return true,
-                Ok(count) => self.store_read_ahead(&chunk[..count]),
+                Ok(count) => self.read_ahead.borrow_mut().store(&chunk[..count]),
                 Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
             }
         }
--- a/src/net/downstream/request.rs
+++ b/src/net/downstream/request.rs
@@ -4,20 +4,19 @@
 //! answered with the status of its [`RequestError`].
 
 use crate::net::messages::{
-    ClientConnection, IncomingRequest, UpstreamRequest, IDEMPOTENCY_KEY, MAX_BODY_BYTES,
-    REQUEST_ID, REQUEST_TIMEOUT,
+    ClientConnection, IncomingRequest, UpstreamRequest, IDEMPOTENCY_KEY, REQUEST_ID,
+    REQUEST_TIMEOUT,
 };
 use crate::net::runtime::budget::Budget;
 use crate::net::runtime::context::RuntimeContext;
+use crate::net::runtime::memory::OutOfMemory;
 use cometspool::settings::normalize_name;
 use cometspool::{ClassId, CustomerId, Idempotency, Millis, PlanId, Settings};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Incoming as IncomingBody};
+use hyper::body::Bytes;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, COOKIE, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
-use std::error::Error;
 use std::rc::Rc;
 
 /// Exclusive upper bound of customer numbers.
@@ -60,16 +59,19 @@
     MethodMismatch,
     /// The body ended early or is malformed.
     #[error("the body cannot be read")]
-    UnreadableBody(#[source] Box<dyn Error + Send + Sync>),
+    UnreadableBody(#[source] hyper::Error),
     /// The body has no `Content-Length`.
     #[error("a body must tell its length")]
     LengthRequired,
-    /// The body is longer than [`MAX_BODY_BYTES`].
+    /// The body is longer than [`MAX_BODY_BYTES`](crate::net::messages::MAX_BODY_BYTES).
     #[error("the body is too long")]
     BodyTooLong,
     /// The body did not arrive completely before its deadline.
     #[error("the body did not come in time")]
     BodyTimeout(#[source] tokio::time::error::Elapsed),
+    /// The gateway cannot hold the request, since others that have to be answered first take the memory.
+    #[error("not enough memory for the request")]
+    OutOfMemory(#[from] OutOfMemory),
     /// The client has disconnected, so nobody will read the response.
     #[error("the client has left")]
     ClientDisconnected,
@@ -87,6 +89,7 @@
             RequestError::BodyTimeout(_) | RequestError::ClientDisconnected => {
                 StatusCode::REQUEST_TIMEOUT
             }
+            RequestError::OutOfMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::DuplicateId => StatusCode::CONFLICT,
             RequestError::InvalidHeader(_)
             | RequestError::UnknownClass
@@ -141,48 +144,34 @@
         upstream_request: UpstreamRequest {
             client,
             id: id.into(),
-            id_value: headers[REQUEST_ID].clone(),
-            host: headers[HOST].clone(),
+            id_value: detached(&headers[REQUEST_ID]),
+            host: detached(&headers[HOST]),
             method: head.method.clone(),
-            uri: Uri::from(path.clone()),
-            key: headers.get(IDEMPOTENCY_KEY).cloned(),
+            uri: detached_uri(path)?,
+            key: headers.get(IDEMPOTENCY_KEY).map(detached),
             content_type: content_type(headers),
             body: Bytes::new(),
         },
     })
 }
 
+/// A copy of a header value that does not refer to the read buffer. A value as hyper returns it would keep the whole
+/// buffer in memory for as long as the request is pending.
+fn detached(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
+/// A copy of the path as a URI that does not refer to the read buffer.
+fn detached_uri(path: &PathAndQuery) -> Result<Uri, RequestError> {
+    let path = PathAndQuery::try_from(path.as_str()).map_err(|_| RequestError::InvalidPath)?;
+    Ok(Uri::from(path))
+}
+
 /// The content type, if the request has a valid one. A malformed content type tells nothing about the body, so it is
 /// not forwarded.
 fn content_type(headers: &HeaderMap) -> Option<HeaderValue> {
     header_text(headers, &CONTENT_TYPE).ok()?;
-    headers.get(CONTENT_TYPE).cloned()
-}
-
-/// Reads a body, which must be complete by `deadline`. Returns an empty body if the request has none.
-pub(crate) async fn read_body(
-    body: IncomingBody,
-    method: &Method,
-    deadline: tokio::time::Instant,
-) -> Result<Bytes, RequestError> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if method == Method::GET {
-        return Err(RequestError::MethodMismatch);
-    }
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(RequestError::BodyTooLong);
-    }
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect();
-    let read = tokio::time::timeout_at(deadline, collected)
-        .await
-        .map_err(RequestError::BodyTimeout)?;
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLong),
-        Err(error) => Err(RequestError::UnreadableBody(error)),
-    }
+    headers.get(CONTENT_TYPE).map(detached)
 }
 
 /// The class of the request. The header, the path, the method and the idempotency key must all agree with it.
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -115,7 +115,7 @@
     ) -> Result<Rc<Driver>, DriverError> {
         let settings = &config.parsed;
         let clock = Clock::skewed(config.clock);
-        let memory_bytes = config.limits.memory_mb << 20;
+        let memory_bytes = config.limits.memory_bytes();
         let connection_limit =
             capacity::upstream_connection_limit(config.descriptor_budget(), memory_bytes);
         let connections = Rc::new(UpstreamConnections::new(
--- a/src/net/runtime/mod.rs
+++ b/src/net/runtime/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) mod clock;
 pub(crate) mod context;
 pub(crate) mod log;
+pub(crate) mod memory;
 pub(crate) mod stall;
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -91,6 +91,7 @@
     let backoff = Backoff::new(driver.context.settings.gateways, config.seed);
     let backoff_fleet_size = backoff.fleet_size();
     let descriptors = config.descriptor_budget();
+    let memory = config.limits.memory_bytes();
     spawn_local(watch_endpoints(
         driver.clone(),
         discovery.subscribe(),
@@ -98,7 +99,7 @@
         backoff,
     ));
     let connections =
-        DownstreamConnections::new(driver.clone(), driver.context.clone(), descriptors);
+        DownstreamConnections::new(driver.clone(), driver.context.clone(), descriptors, memory);
     spawn_local(connections.clone().accept(listener));
     spawn_local(connections.clone().close_expired_connections());
     let fleet = match config.fleet {
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -5,14 +5,13 @@
 //! is closed in order, and truncated if the connection is reset.
 
 use crate::net::messages::{AttemptResult, MAX_BODY_BYTES};
+use crate::net::runtime::memory::{MemoryBudget, OutOfMemory, ReservedBytes};
 use cometspool::settings::{self, Metric, ParsedSettings};
 use cometspool::{LoadReport, Outcome};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 
 /// The longest response body that is accepted, in bytes. Some backends send far more than the agreed
 /// 64 KiB, and their responses are still worth forwarding. A response with a longer body counts as
@@ -41,70 +40,12 @@
     TooLong,
     /// The memory for long responses does not suffice for the body.
     #[error("not enough memory for the response body")]
-    OutOfMemory,
+    OutOfMemory(#[from] OutOfMemory),
     /// The connection broke before the end of the body.
     #[error("connection broke before the end of the response body")]
     Truncated(#[from] hyper::Error),
 }
 
-/// The memory still available for long responses, in bytes.
-#[derive(Clone)]
-struct MemoryBudget(Arc<AtomicUsize>);
-
-impl MemoryBudget {
-    fn new(bytes: usize) -> MemoryBudget {
-        MemoryBudget(Arc::new(AtomicUsize::new(bytes)))
-    }
-
-    /// An empty reservation.
-    fn reservation(&self) -> Reservation {
-        Reservation {
-            bytes: 0,
-            budget: self.clone(),
-        }
-    }
-}
-
-/// Memory reserved for one long response; returned to the budget on drop.
-struct Reservation {
-    bytes: usize,
-    budget: MemoryBudget,
-}
-
-impl Reservation {
-    /// Grows the reservation to `bytes` in total, if it is smaller.
-    fn grow_to(&mut self, bytes: usize) -> Result<(), ResponseError> {
-        let missing = bytes.saturating_sub(self.bytes);
-        let available = &self.budget.0;
-        let remaining = available
-            .load(Ordering::Relaxed)
-            .checked_sub(missing)
-            .ok_or(ResponseError::OutOfMemory)?;
-        available.store(remaining, Ordering::Relaxed);
-        self.bytes += missing;
-        Ok(())
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.budget.0.fetch_add(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// A long body with the memory reserved for it. The memory is returned to the budget when the last
-/// reference to the body is dropped.
-struct ReservedBody {
-    body: Vec<u8>,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
 /// A complete response.
 pub(crate) struct ReceivedResponse {
     /// The result of the attempt, as the response states it.
@@ -200,26 +141,23 @@
     }
 }
 
-/// Reads a body to its end, within the limit for one response and the budget for all responses.
-async fn read_body(budget: &MemoryBudget, body: Incoming) -> Result<Bytes, ResponseError> {
-    match body.size_hint().exact() {
-        Some(length) if length > MAX_RESPONSE_BYTES as u64 => Err(ResponseError::TooLong),
-        Some(length) if length <= MAX_BODY_BYTES as u64 => Ok(body.collect().await?.to_bytes()),
-        length => read_long_body(budget, body, length).await,
+/// Reads a body to its end, within the limit for one response and the budget for all long responses.
+///
+/// The body is copied piece by piece: each piece that the HTTP library returns refers to the whole read buffer that it
+/// arrived in, so that the pieces of a body that arrives slowly would hold far more memory than the body.
+async fn read_body(budget: &MemoryBudget, mut body: Incoming) -> Result<Bytes, ResponseError> {
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > MAX_RESPONSE_BYTES as u64) {
+        return Err(ResponseError::TooLong);
     }
-}
-
-/// Reads a body that is long or of unknown length, and reserves memory for it from the budget.
-async fn read_long_body(
-    budget: &MemoryBudget,
-    mut body: Incoming,
-    length: Option<u64>,
-) -> Result<Bytes, ResponseError> {
-    let mut reservation = budget.reservation();
-    // If the length is known, all memory is reserved up front, so that reading cannot fail half-way
-    // for lack of memory.
-    reservation.grow_to(length.unwrap_or(0) as usize)?;
-    let mut received = Vec::with_capacity(reservation.bytes);
+    let known_length = length.unwrap_or(0) as usize;
+    let mut reservation = budget.empty_reservation();
+    if known_length > MAX_BODY_BYTES {
+        // If the length is known, all memory is reserved up front, so that reading cannot fail half-way
+        // for lack of memory.
+        reservation.grow_to(known_length)?;
+    }
+    let mut received = Vec::with_capacity(known_length);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
@@ -233,13 +171,10 @@
         }
         received.extend_from_slice(&data);
     }
-    if reservation.bytes == 0 {
+    if reservation.bytes() == 0 {
         return Ok(Bytes::from(received));
     }
-    Ok(Bytes::from_owner(ReservedBody {
-        body: received,
-        _reservation: reservation,
-    }))
+    Ok(Bytes::from_owner(ReservedBytes::new(received, reservation)))
 }
 
 /// Derives the outcome from the status: 200 is a success, and 503 or 504 with `not-started: 1` means
--- /dev/null
+++ b/tests/client_memory.rs
@@ -0,0 +1,226 @@
+//! The memory that clients make the gateway hold, over loopback sockets. Hundreds of clients send as much as they may;
+//! the gateway stays under its memory limit, and clients that send sound requests get their responses.
+
+use cometspool_fault_injection::scripted_peers::*;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Memory limit of the gateway, in MiB.
+const MEMORY_MB: usize = 32;
+/// Limit on the file descriptors of the gateway.
+const DESCRIPTOR_LIMIT: u32 = 1024;
+/// Clients that come at once.
+const CLIENTS: usize = 400;
+/// Longest body that a request may have, in bytes.
+const LONGEST_BODY: usize = 64 * 1024;
+/// Length of a header without meaning that makes a head nearly as long as it may be, in bytes.
+const PADDING: usize = 30_000;
+/// How long a client may wait for its error or close. Clients are owed it within 3 s of connecting; the rest leaves time
+/// for a busy machine.
+const MAX_TIME_TO_ERROR: Duration = Duration::from_secs(8);
+
+/// A gateway with a memory limit of [`MEMORY_MB`], and its discovery service.
+struct SmallGateway {
+    program: GatewayProcess,
+    _discovery: TestListener,
+}
+
+/// The response to a request, with the open connection.
+struct Exchange {
+    status: Option<u16>,
+    _connection: BufReader<TcpStream>,
+}
+
+impl SmallGateway {
+    /// Starts the gateway and two backends. Each backend answers all requests with `response_body`, or none of them.
+    fn start(response_body: Option<&'static str>) -> SmallGateway {
+        let discovery = TestListener::new();
+        let hosts: Vec<Value> = (0..2)
+            .map(|number| {
+                let backend = TestListener::new();
+                let host = endpoint(&format!("s-{number}"), backend.address(), "up");
+                std::thread::spawn(move || run_backend(&backend, response_body));
+                host
+            })
+            .collect();
+        let program = GatewayProcess::start_with_limits(
+            json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTOR_LIMIT}),
+            default_settings(),
+            discovery.address(),
+            endpoint_list(1, true, &hosts),
+        );
+        SmallGateway {
+            program,
+            _discovery: discovery,
+        }
+    }
+
+    /// Sends these bytes on a new connection, waits for the response or the close, and returns the status with the
+    /// connection, which stays open.
+    fn exchange(&self, bytes: &[u8]) -> Exchange {
+        let mut stream = TcpStream::connect(self.program.address).expect("the gateway accepts");
+        stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
+        // The gateway may answer or close before it has read all.
+        let _ = stream.write_all(bytes);
+        let mut line = String::new();
+        let mut reader = BufReader::new(stream);
+        let _ = reader.read_line(&mut line);
+        let status = line.split(' ').nth(1).and_then(|code| code.parse().ok());
+        Exchange {
+            status,
+            _connection: reader,
+        }
+    }
+
+    /// The status with which these bytes are answered on a new connection; `None` if it is closed without a response.
+    fn status_of(&self, bytes: &[u8]) -> Option<u16> {
+        self.exchange(bytes).status
+    }
+
+    /// Runs `clients`, and asserts that the gateway is under its memory limit all the time.
+    fn assert_within_memory_limit(&self, clients: impl FnOnce()) {
+        let is_done = AtomicBool::new(false);
+        let highest = std::thread::scope(|scope| {
+            let sampler = scope.spawn(|| self.sample_memory(&is_done));
+            clients();
+            is_done.store(true, Ordering::Relaxed);
+            sampler.join().expect("the process runs")
+        });
+        assert!(
+            highest < MEMORY_MB * 1024,
+            "the gateway held {highest} KiB, its limit is {MEMORY_MB} MiB"
+        );
+    }
+
+    /// The most memory that the gateway held until `is_done`, in KiB.
+    fn sample_memory(&self, is_done: &AtomicBool) -> usize {
+        let mut highest = 0;
+        while !is_done.load(Ordering::Relaxed) {
+            highest = highest.max(self.program.resident_kib());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        highest
+    }
+}
+
+/// Answers requests on all connections to a backend with this body, or reads them without an answer.
+fn run_backend(backend: &TestListener, response_body: Option<&'static str>) {
+    for stream in backend.socket.incoming().flatten() {
+        std::thread::spawn(move || {
+            let mut connection = ScriptedConnection::new(stream);
+            let is_open = |connection: &mut ScriptedConnection| {
+                let unread = connection.reader.fill_buf();
+                unread.is_ok_and(|bytes| !bytes.is_empty())
+            };
+            while is_open(&mut connection) {
+                connection.read();
+                if let Some(body) = response_body {
+                    connection.respond(200, "", body);
+                }
+            }
+        });
+    }
+}
+
+/// A request with a body of `body_len` bytes and a header of `padding` bytes without meaning.
+fn long_request(id: &str, padding: usize, body_len: usize) -> Vec<u8> {
+    let short = request_with(id, "charge", "wide", LONG_TIMEOUT);
+    let head = short.replace(
+        "Content-Length: 5\r\n\r\nhello",
+        &format!(
+            "X-Padding: {}\r\nContent-Length: {body_len}\r\n\r\n",
+            "y".repeat(padding)
+        ),
+    );
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + body_len, b'b');
+    bytes
+}
+
+/// Runs `client` in [`CLIENTS`] threads at once, and returns their results.
+fn run_clients<T: Send>(client: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    let client = &client;
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..CLIENTS)
+            .map(|number| scope.spawn(move || client(number)))
+            .collect();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().expect("the client"))
+            .collect()
+    })
+}
+
+/// Guards against the memory of all requests that are being read together: hundreds of clients keep back the last byte
+/// of a long request. They get an error or a close in time, and sound long requests are served meanwhile.
+#[test]
+fn stalled_requests_stay_within_the_memory_limit() {
+    let gateway = SmallGateway::start(Some("ok"));
+    gateway.assert_within_memory_limit(|| {
+        std::thread::scope(|scope| {
+            let stalled = scope.spawn(|| {
+                run_clients(|number| {
+                    let started_at = Instant::now();
+                    let mut request = long_request(&format!("bad-{number}"), PADDING, LONGEST_BODY);
+                    request.pop();
+                    let status = gateway.status_of(&request);
+                    assert!(
+                        status.is_none_or(|status| status >= 400),
+                        "answered with {status:?}"
+                    );
+                    started_at.elapsed()
+                })
+            });
+            for number in 0..10 {
+                let request = long_request(&format!("sound-{number}"), 0, LONGEST_BODY);
+                assert_eq!(gateway.status_of(&request), Some(200));
+            }
+            let slowest = stalled.join().expect("the clients").into_iter().max();
+            assert!(
+                slowest < Some(MAX_TIME_TO_ERROR),
+                "the last error came after {slowest:?}"
+            );
+        });
+    });
+}
+
+/// Guards against the memory of all requests that await a response together, and of the read buffers of idle
+/// connections: hundreds of clients send long requests at once and keep their connections. None is closed unanswered.
+#[test]
+fn long_requests_at_once_stay_within_the_memory_limit() {
+    let gateway = SmallGateway::start(Some("ok"));
+    gateway.assert_within_memory_limit(|| {
+        let exchanges = run_clients(|number| {
+            gateway.exchange(&long_request(&format!("id-{number}"), 0, LONGEST_BODY))
+        });
+        let statuses: Vec<Option<u16>> = exchanges.iter().map(|exchange| exchange.status).collect();
+        for status in &statuses {
+            assert!(
+                matches!(status, Some(200 | 429 | 503)),
+                "answered with {status:?}"
+            );
+        }
+        let served = statuses.iter().filter(|status| **status == Some(200));
+        assert!(served.count() > CLIENTS / 2, "{statuses:?}");
+    });
+}
+
+/// Guards against requests that are held for backends that do not answer: they take no more memory than their share,
+/// and a short request is still read and answered.
+#[test]
+fn requests_at_hung_backends_stay_within_the_memory_limit() {
+    let gateway = SmallGateway::start(None);
+    gateway.assert_within_memory_limit(|| {
+        let _open = run_clients(|number| {
+            gateway.exchange(&long_request(
+                &format!("id-{number}"),
+                PADDING,
+                LONGEST_BODY,
+            ))
+        });
+        assert_eq!(gateway.status_of(HEALTH_CHECK.as_bytes()), Some(200));
+    });
+}
