See a disconnect however much the client sent before it

Cause: the end of the stream lies behind the bytes before it, and at most 256 KiB were read ahead every 100 ms; with more unread, the client counted as connected.

Change: while a request waits, its connection reads ahead whenever bytes arrive, at most 256 KiB in a turn, and goes on in the next turn; a request is submitted after all behind it has been read; an attempt is not begun while more is unread than one turn reads.

Why it works: the end is reached at the speed of reading instead of once in 100 ms, at a bounded cost a turn, and what is unread can no longer hide it from the check before an attempt.

--- a/src/net/downstream/connections.rs
+++ b/src/net/downstream/connections.rs
@@ -23,13 +23,13 @@
 mod shutdown;
 mod state;
 
-use crate::net::messages::{Answer, ClientConnection, IncomingRequest};
+use crate::net::messages::{Answer, IncomingRequest};
 use crate::net::runtime::capacity::{client_connection_limit, ACCEPT_RETRY_DELAY};
 use crate::net::runtime::context::RuntimeContext;
 use cometspool::{Millis, RequestId};
 use memory::ClientMemory;
 use shutdown::ShutdownPhase;
-use state::{CloseMode, ConnectionState};
+use state::{ClientInput, CloseMode, ConnectionState};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -147,9 +147,9 @@
 
     fn close_expired(&self, now: Millis) {
         for connection in self.open.borrow().values() {
-            // While a request awaits its response, hyper reads no further than it has to. Pipelined bytes behind that
-            // request would hide the disconnect from hyper, so it is checked here.
-            if connection.awaits_response() && connection.is_disconnected() {
+            let has_ended =
+                connection.awaits_response() && connection.read_ahead_now() == ClientInput::Ended;
+            if has_ended {
                 connection.request_close(CloseMode::Immediate);
             } else if let Some(mode) = connection.timeout_close_mode(now) {
                 connection.request_close(mode);
--- a/src/net/downstream/connections/service.rs
+++ b/src/net/downstream/connections/service.rs
@@ -3,10 +3,10 @@
 use super::io::ConnectionIo;
 use super::response;
 use super::shutdown::ShutdownPhase;
-use super::state::{CloseMode, ConnectionState, REQUEST_READ_TIMEOUT};
+use super::state::{ClientInput, CloseMode, ConnectionState, REQUEST_READ_TIMEOUT};
 use super::{DownstreamConnections, RequestHandler};
 use crate::net::downstream::request::{read_head, RequestError};
-use crate::net::messages::{Answer, ClientConnection};
+use crate::net::messages::Answer;
 use crate::net::runtime::capacity::CONNECTION_BUFFER_BYTES;
 use cometspool::{Millis, RequestId};
 use http_body_util::Full;
@@ -114,9 +114,9 @@
         incoming.received_at = state.last_byte_at();
         state.request_completed();
         state.set_write_deadline(budget_end + LATE_RESPONSE_GRACE);
-        if state.is_disconnected() {
-            return Err(RequestError::ClientDisconnected);
-        }
+        tokio::time::timeout_at(read_by, wait_until_all_read(state))
+            .await
+            .map_err(RequestError::BodyTimeout)??;
         let (id, answer) = self
             .handler
             .submit(incoming)
@@ -125,9 +125,30 @@
             handler: &*self.handler,
             pending: Some(id),
         };
-        let answer = answer.await.unwrap_or(Answer::Failed);
-        disconnect_guard.pending = None;
-        Ok(answer)
+        tokio::select! {
+            biased;
+            answer = answer => {
+                disconnect_guard.pending = None;
+                Ok(answer.unwrap_or(Answer::Failed))
+            }
+            // hyper reads no further than it has to. Pipelined bytes behind the request would hide the disconnect.
+            () = state.disconnected() => {
+                drop(disconnect_guard);
+                state.request_close(CloseMode::Immediate);
+                std::future::pending().await
+            }
+        }
+    }
+}
+
+/// Reads ahead until nothing more has arrived. Bytes behind the request could hide that the client has disconnected.
+async fn wait_until_all_read(state: &ConnectionState) -> Result<(), RequestError> {
+    loop {
+        match state.read_ahead_now() {
+            ClientInput::AllRead => return Ok(()),
+            ClientInput::Ended => return Err(RequestError::ClientDisconnected),
+            ClientInput::MoreUnread => tokio::task::yield_now().await,
+        }
     }
 }
 
--- a/src/net/downstream/connections/state.rs
+++ b/src/net/downstream/connections/state.rs
@@ -14,7 +14,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::Poll;
-use tokio::io::ReadBuf;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -30,8 +30,7 @@
 const SLOW_REQUEST_AGE: Millis = 250.0;
 /// Maximum number of bytes that one system call reads ahead while a request awaits its response.
 const READ_AHEAD_CHUNK_BYTES: usize = 4096;
-/// Maximum number of consecutive reads ahead. A client that sends more than that is checked again in the next periodic
-/// check of all connections.
+/// Maximum number of consecutive reads ahead, so that a client that sends much does not hold up the others.
 const READ_AHEAD_MAX_READS: usize = 64;
 
 /// How a connection is closed.
@@ -43,6 +42,17 @@
     Immediate,
 }
 
+/// What reading ahead on a connection has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientInput {
+    /// All bytes that have arrived have been read, and the client is connected.
+    AllRead,
+    /// More bytes may have arrived, which hide whether the client has disconnected.
+    MoreUnread,
+    /// The client has disconnected.
+    Ended,
+}
+
 /// The state of one client connection.
 #[derive(Debug)]
 pub(super) struct ConnectionState {
@@ -143,6 +153,58 @@
         peeked.is_ok_and(|count| count > 0)
     }
 
+    /// Reads ahead what has arrived, as far as the operating system knows now.
+    pub(super) fn read_ahead_now(&self) -> ClientInput {
+        self.read_ahead_with(|stream, chunk| Poll::Ready((&*SockRef::from(&*stream)).read(chunk)))
+    }
+
+    /// Waits until the client has disconnected. Each turn reads a bounded amount, so that other tasks run in between.
+    pub(super) async fn disconnected(&self) {
+        std::future::poll_fn(|cx| {
+            let input = self.read_ahead_with(|stream, chunk| {
+                let mut buf = ReadBuf::new(chunk);
+                let read = Pin::new(stream).poll_read(cx, &mut buf);
+                read.map_ok(|()| buf.filled().len())
+            });
+            match input {
+                ClientInput::Ended => Poll::Ready(()),
+                ClientInput::AllRead => Poll::Pending,
+                ClientInput::MoreUnread => {
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+            }
+        })
+        .await;
+    }
+
+    /// Reads ahead with `read` until it would block, at most [`READ_AHEAD_MAX_READS`] times.
+    ///
+    /// Pipelined bytes behind a request would hide the end of the stream. Those that do not fit into the read-ahead
+    /// buffer are dropped.
+    fn read_ahead_with(
+        &self,
+        mut read: impl FnMut(&mut TcpStream, &mut [u8]) -> Poll<io::Result<usize>>,
+    ) -> ClientInput {
+        let mut socket = self.socket.borrow_mut();
+        let Some(stream) = socket.as_mut() else {
+            return ClientInput::Ended;
+        };
+        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        for _ in 0..READ_AHEAD_MAX_READS {
+            match read(stream, &mut chunk) {
+                Poll::Ready(Ok(0)) => return ClientInput::Ended,
+                Poll::Ready(Ok(count)) => self.read_ahead.borrow_mut().store(&chunk[..count]),
+                Poll::Pending => return ClientInput::AllRead,
+                Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return ClientInput::AllRead
+                }
+                Poll::Ready(Err(_)) => return ClientInput::Ended,
+            }
+        }
+        ClientInput::MoreUnread
+    }
+
     // ---- Request progress -----------------------------------------------------------------------
 
     /// Records that bytes of a request arrived at `at`.
@@ -295,22 +357,7 @@
 impl ClientConnection for ConnectionState {
     /// Asks the operating system, since the runtime polls for input only between two rounds of its tasks. A disconnect
     /// is thus seen before a request of the same client is sent in the same round.
-    ///
-    /// Pipelined bytes behind the request would hide the end of the stream, so they are read ahead. Those that
-    /// do not fit into the read-ahead buffer are dropped.
     fn is_disconnected(&self) -> bool {
-        let socket = self.socket.borrow();
-        let Some(stream) = socket.as_ref() else {
-            return true;
-        };
-        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
-        for _ in 0..READ_AHEAD_MAX_READS {
-            match (&*SockRef::from(stream)).read(&mut chunk) {
-                Ok(0) => return true,
-                Ok(count) => self.read_ahead.borrow_mut().store(&chunk[..count]),
-                Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
-            }
-        }
-        false
+        self.read_ahead_now() != ClientInput::AllRead
     }
 }
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -45,8 +45,8 @@
 
 /// The connection of a client that waits for an answer.
 pub(super) trait ClientConnection: std::fmt::Debug {
-    /// Whether the client has disconnected, as far as the operating system knows now. A request forwarded after the
-    /// disconnect would be work that nobody waits for.
+    /// Whether the client has disconnected, as far as the operating system knows now, or sends so much behind its
+    /// request that this cannot be told. A request forwarded after the disconnect would be work that nobody waits for.
     fn is_disconnected(&self) -> bool;
 }
 
--- a/tests/client_disconnect.rs
+++ b/tests/client_disconnect.rs
@@ -425,3 +425,58 @@
         );
     }
 }
+
+/// Bytes that a client sends behind its request: far more than the gateway reads in one turn.
+const EXCESS_BYTES: usize = 3_000_000;
+/// How long after a disconnect a backend ends its attempt. Long after the 0.1 s within which the gateway has to see the
+/// disconnect.
+const ATTEMPT_AFTER_DISCONNECT: Duration = Duration::from_millis(400);
+
+/// Writes `EXCESS_BYTES`, as far as the system takes them without waiting.
+fn write_excess(client: &mut ScriptedConnection) {
+    let stream = client.reader.get_mut();
+    stream.set_nonblocking(true).unwrap();
+    let bytes = vec![b'\n'; EXCESS_BYTES];
+    let mut written = 0;
+    while written < bytes.len() {
+        match stream.write(&bytes[written..]) {
+            Ok(count) => written += count,
+            Err(error) => {
+                assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock);
+                break;
+            }
+        }
+    }
+    stream.set_nonblocking(false).unwrap();
+}
+
+/// Guards against a disconnect that is hidden behind more bytes than the gateway reads in one turn: when the attempt
+/// ends that was in flight at the disconnect, the request is not sent to another backend.
+#[test]
+fn a_disconnect_behind_megabytes_is_seen_before_a_retry() {
+    let fixture = TestFixture::with_settings(with_cancellation(false), 2);
+    let mut client = fixture.program.connect_client();
+    client.write(request_with("left", "read", "wide", LONG_TIMEOUT));
+    let (_, mut backend) = fixture.accept_any();
+    assert_eq!(backend.read().header("request-id"), Some("left"));
+    write_excess(&mut client);
+    drop(client);
+    std::thread::sleep(ATTEMPT_AFTER_DISCONNECT);
+    backend.respond(503, "Not-Started: 1\r\nConnection: close\r\n", "");
+    drop(backend);
+    let accept = || fixture.accept_any().1;
+    assert_only_next_is_forwarded(&fixture.program, accept, "after the excess");
+}
+
+/// A client that sends much behind its request and stays still gets its response.
+#[test]
+fn a_client_that_sends_megabytes_and_stays_is_answered() {
+    let fixture = TestFixture::new(1);
+    let mut client = fixture.program.connect_client();
+    client.write(request_with("stays", "read", "wide", LONG_TIMEOUT));
+    write_excess(&mut client);
+    let mut backend = fixture.backends[0].accept();
+    backend.read();
+    backend.respond(200, "", "ok");
+    assert_eq!(client.read().body, b"ok");
+}
