Search for connections to close for memory at most every 10 ms

Need: each connection that waits for memory searched all connections every 20 ms; with hundreds that wait, this would take a part of the core that grows with their square (found by reading, not measured). A request whose body had failed was still counted as holding it.

Change: a search is made once in 10 ms for all, and asks the system about a connection only after the 0.1 s in which it is not closed; the count ends with the response.

--- a/src/net/downstream/connections/memory.rs
+++ b/src/net/downstream/connections/memory.rs
@@ -19,7 +19,10 @@
 pub(super) const SMALL_READ_BUFFER_BYTES: usize = 4 * 1024;
 /// Memory reserved for a larger read buffer, in bytes. Its capacity grows by half beyond [`CONNECTION_BUFFER_BYTES`].
 pub(super) const LARGE_READ_BUFFER_BYTES: usize = CONNECTION_BUFFER_BYTES * 3 / 2;
-/// How long to wait for the memory of closed connections before further connections are closed.
+/// Shortest time between two searches for connections to close, in milliseconds: a search looks at all connections, and
+/// hundreds may wait.
+const EVICTION_INTERVAL: Millis = 10.0;
+/// How long to wait for the memory of closed connections before the next search.
 const EVICTION_WAIT: Duration = Duration::from_millis(20);
 /// How long a connection may hold memory before it can be closed for that, in milliseconds. A client that sends or reads
 /// at full speed needs it for less.
@@ -46,6 +49,8 @@
 struct SharedBudget {
     budget: MemoryBudget,
     waiting_bytes: Cell<usize>,
+    /// When connections to close were searched for last.
+    searched_at: Cell<Millis>,
 }
 
 impl SharedBudget {
@@ -53,6 +58,7 @@
         SharedBudget {
             budget: MemoryBudget::new(bytes),
             waiting_bytes: Cell::new(0),
+            searched_at: Cell::new(f64::NEG_INFINITY),
         }
     }
 }
@@ -114,7 +120,7 @@
     /// Records that a request is complete, so that the next bytes belong to another one.
     pub(super) fn request_completed(&self) {
         self.received_bytes.set(0);
-        self.body_bytes.set(0);
+        self.body_ended();
     }
 
     /// Whether a large read buffer is reserved.
@@ -134,6 +140,11 @@
         self.body_bytes.set(bytes);
     }
 
+    /// Records that no body is being read any more.
+    pub(super) fn body_ended(&self) {
+        self.body_bytes.set(0);
+    }
+
     /// Records the memory that is reserved for the response that is being written.
     pub(super) fn set_response_bytes(&self, now: Millis, bytes: usize) {
         self.reserved_at.set(now);
@@ -217,7 +228,12 @@
     /// Closes connections until the memory that they return covers what connections wait for, as far as there are any
     /// that may be closed.
     fn evict_for_memory(&self, usage: MemoryUse, now: Millis) {
-        let waiting_bytes = self.memory.shared_budget(usage).waiting_bytes.get();
+        let shared = self.memory.shared_budget(usage);
+        if now - shared.searched_at.get() < EVICTION_INTERVAL {
+            return;
+        }
+        shared.searched_at.set(now);
+        let waiting_bytes = shared.waiting_bytes.get();
         let mut missing = waiting_bytes.saturating_sub(self.closing_bytes(usage));
         for holder in self.memory_holders(usage, now) {
             if missing == 0 {
--- a/src/net/downstream/connections/state.rs
+++ b/src/net/downstream/connections/state.rs
@@ -227,6 +227,7 @@
         self.awaits_response.set(false);
         self.response_unwritten.set(true);
         self.last_response_at.set(Some(now));
+        self.memory.body_ended();
     }
 
     /// Records that the response has been written completely.
@@ -328,9 +329,12 @@
             });
         }
         let held_for = now - self.memory.reserved_at();
+        if held_for < HOLDING_GRACE {
+            return None;
+        }
         let is_stalled =
             self.response_unwritten.get() || self.memory.is_waiting() || !self.has_unread_bytes();
-        (held_for >= HOLDING_GRACE && is_stalled).then_some(MemoryEviction {
+        is_stalled.then_some(MemoryEviction {
             mode: CloseMode::Immediate,
             held_for,
         })
