Review cases 6 and 7: steadier bad clients, fewer spoilt answers

Now 500 of them, each away for a second after it was turned away, and 15 in 100 of the bodies of usual clients are long. Case 7 asked for one spoilt answer in five; one in eight is enough.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -17,12 +17,16 @@
     sockets: 1024,
 };
 const USUAL_CLIENTS: usize = 32;
-const BAD_CLIENTS: usize = 300;
+const BAD_CLIENTS: usize = 500;
 /// When bad clients come, and when all is over, in milliseconds.
 const BAD_FROM: f64 = 6_000.0;
 const END: f64 = 36_000.0;
-/// Length of the bodies of usual clients; a body may hold 64 KiB.
-const BODY: usize = 5_000;
+/// Lengths of the bodies of usual clients, and the share of the long ones; a body may hold 64 KiB.
+const SHORT_BODY: usize = 300;
+const LONG_BODY: usize = 5_000;
+const LONG_SHARE: f64 = 0.15;
+/// How long a bad client that was turned away stays away, in seconds.
+const BAD_PAUSE: f64 = 1.0;
 /// What a bad client says its body holds, and what it sends of it.
 const BAD_BODY: usize = 64 * 1024;
 const BAD_SENT: usize = 60_000;
@@ -147,7 +151,11 @@
             customer: customer % 5000,
             timeout_s,
             spread: 2,
-            body: BODY,
+            body: if random.draw() < LONG_SHARE {
+                LONG_BODY
+            } else {
+                SHORT_BODY
+            },
         }
         .bytes();
         if let Some(stream) = kept.take() {
@@ -270,6 +278,7 @@
 
 /// A bad client: stops in the middle of its request and stays, until it gets its error or close; then the same again.
 fn bad_client(case: &Case, address: std::net::SocketAddr, number: usize, counts: &Counts) {
+    let mut random = Random::new(1_000 + number as u64);
     while case.now() < END {
         let id = case.new_id();
         let request = Ask {
@@ -303,5 +312,7 @@
         if took > 3000.0 {
             counts.add("bad: later than 3 s");
         }
+        let pause = BAD_PAUSE * (0.8 + 0.4 * random.draw());
+        thread::sleep(Duration::from_secs_f64(pause));
     }
 }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -18,7 +18,7 @@
 /// Requests a second at the gateway.
 const RATE: f64 = 250.0;
 /// The share of the answers that are spoilt.
-const SPOILT: f64 = 0.2;
+const SPOILT: f64 = 0.125;
 /// Length of the bodies of requests and of good answers; a body may hold 64 KiB.
 const BODY: usize = 60_000;
 /// Requests of usual clients hold at most a third of the descriptors.
