--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -115,9 +115,10 @@
 
 /// Sends a signal to one process.
 pub fn signal(process: u32, name: &str) {
-    let _ = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(process.to_string())
+    // The shell's own command: a machine may have no other.
+    let _ = Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!("kill -{name} {process}"))
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::null())
@@ -212,6 +213,28 @@
         settings: &str,
         discovery: SocketAddr,
         known: &str,
+    ) -> Gateway {
+        let mut gateway = Gateway {
+            case: case.clone(),
+            child: None,
+            name: name.to_owned(),
+            address: free_address(),
+            config: case.temporary.join(format!("{name}.json")),
+        };
+        gateway.write_config(limits, settings, discovery, known);
+        gateway.run(discovery);
+        gateway.wait_until_ready(Duration::from_secs(10));
+        gateway
+    }
+
+    /// Starts a gateway without waiting until it is ready.
+    pub fn launch(
+        case: &Arc<Case>,
+        name: &str,
+        limits: Limits,
+        settings: &str,
+        discovery: SocketAddr,
+        known: &str,
     ) -> Gateway {
         let mut gateway = Gateway {
             case: case.clone(),
@@ -241,7 +264,7 @@
         fs::rename(&fresh, &self.config).expect("the configuration can be replaced");
     }
 
-    /// Starts the process, and waits until it is ready.
+    /// Starts the process.
     pub fn run(&mut self, discovery: SocketAddr) {
         let command = run_command(&self.case.root);
         let log = File::options()
@@ -265,17 +288,21 @@
         self.case.processes.lock().unwrap().push(child.id());
         self.case.note(&format!("{} started: {command}", self.name));
         self.child = Some(child);
-        let give_up = Instant::now() + Duration::from_secs(10);
+    }
+
+    /// Waits until the gateway is ready; the case could not run if that takes longer than `patience`.
+    pub fn wait_until_ready(&self, patience: Duration) {
+        let give_up = Instant::now() + patience;
         while !self.is_ready() {
             if Instant::now() > give_up {
                 self.case
-                    .finish(COULD_NOT_RUN, "the gateway was not ready within 10 s");
+                    .finish(COULD_NOT_RUN, "the gateway was not ready in time");
             }
             thread::sleep(Duration::from_millis(20));
         }
     }
 
-    fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.address) else {
             return false;
         };
@@ -590,11 +617,18 @@
 
 // ---- Discovery -------------------------------------------------------------------------------------------------------
 
+/// The version of the first list.
+const FIRST_SEQ: u64 = 41;
+
 /// A discovery agent: answers with the whole list, and holds watches open with an empty line every 2 s.
 pub struct Discovery {
     pub address: SocketAddr,
     state: Mutex<DiscoveryState>,
     changed: Condvar,
+    /// How long each call waits for its answer, in milliseconds.
+    pub delay_ms: AtomicU64,
+    /// When each call came, and its target.
+    pub calls: Mutex<Vec<(Instant, String)>>,
 }
 
 struct DiscoveryState {
@@ -614,11 +648,13 @@
         let discovery = Arc::new(Discovery {
             address: listener.local_addr().expect("an address"),
             state: Mutex::new(DiscoveryState {
-                seq: 41,
+                seq: FIRST_SEQ,
                 entries: entries.collect(),
                 changes: Vec::new(),
             }),
             changed: Condvar::new(),
+            delay_ms: AtomicU64::new(0),
+            calls: Mutex::default(),
         });
         let served = discovery.clone();
         spawn(move || {
@@ -665,6 +701,9 @@
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
         while let Some(message) = read_message(&mut reader) {
+            let call = (Instant::now(), message.target.clone());
+            self.calls.lock().unwrap().push(call);
+            thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
             let from = message
                 .target
                 .split(['?', '&'])
@@ -688,6 +727,16 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return;
         }
+        // The changes up to FIRST_SEQ are not kept, so an older version gets the whole list.
+        if from < FIRST_SEQ {
+            let seq = self.state.lock().unwrap().seq;
+            let text = self.list() + "\n";
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            if stream.write_all(chunk.as_bytes()).is_err() {
+                return;
+            }
+            from = seq;
+        }
         loop {
             let mut state = self.state.lock().unwrap();
             if state.seq <= from {
