Never close a connection for memory once its request has been read

Cause: a connection that waits for memory itself could be closed at once, and its hold counted from its last reservation, made for an earlier request. Besides, a request could be read to its end between the decision to close and the close.

Change: a connection may be closed for memory only while the gateway waits for its client to send; the socket adapter notes whether hyper asked for more bytes last and there were none. The close checks this again when it is carried out. The eviction of slow requests at the connection limit and the request timeout follow the same rule.

Why it works: hyper asks for more only when its buffer holds no complete request, so a request that was read falls under no reason to close, whether it is parsed, waits for memory or awaits its response.

--- a/src/net/downstream/connections/body.rs
+++ b/src/net/downstream/connections/body.rs
@@ -83,9 +83,7 @@
             0
         };
         let total = length + buffer_bytes;
-        let mut reservation = self
-            .reserve_memory(state, MemoryUse::Request, total)
-            .await?;
+        let mut reservation = self.reserve_memory(MemoryUse::Request, total).await?;
         let now = self.context.clock.now();
         if buffer_bytes > 0 {
             if let Some(buffer) = reservation.split(buffer_bytes) {
@@ -106,7 +104,7 @@
         if !(MAX_UNRESERVED_BYTES + 1..=MAX_BODY_BYTES).contains(&len) {
             return Answer::Served(body);
         }
-        match self.reserve_memory(state, MemoryUse::Response, len).await {
+        match self.reserve_memory(MemoryUse::Response, len).await {
             Ok(reservation) => {
                 let now = self.context.clock.now();
                 state.memory().set_response_bytes(now, len);
--- a/src/net/downstream/connections/eviction.rs
+++ b/src/net/downstream/connections/eviction.rs
@@ -60,7 +60,7 @@
         let mode = match self.kind {
             // A graceful close still answers a request that has begun to arrive in the meantime.
             EvictionKind::Idle => CloseMode::Graceful,
-            EvictionKind::SlowRequest | EvictionKind::Unused => CloseMode::Immediate,
+            EvictionKind::SlowRequest | EvictionKind::Unused => CloseMode::UnlessRequestRead,
         };
         self.connection.request_close(mode);
     }
--- a/src/net/downstream/connections/io.rs
+++ b/src/net/downstream/connections/io.rs
@@ -52,14 +52,12 @@
             return Poll::Pending;
         }
         let connections = &self.connections;
-        let connection = &self.connection;
         let reserving = self.reserving.get_or_insert_with(|| {
             let connections = connections.clone();
-            let connection = connection.clone();
             Box::pin(async move {
                 let usage = MemoryUse::Request;
                 connections
-                    .reserve_memory(&connection, usage, LARGE_READ_BUFFER_BYTES)
+                    .reserve_memory(usage, LARGE_READ_BUFFER_BYTES)
                     .await
             })
         });
@@ -127,8 +125,10 @@
         if self.connection.next_byte_was_dropped() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
+        self.connection.set_awaits_bytes(false);
         let limit = ready!(self.poll_readable_bytes(cx))?;
         let read = self.poll_read_limited(cx, buf, limit);
+        self.connection.set_awaits_bytes(read.is_pending());
         let count = buf.filled().len() - filled_before;
         if count > 0 {
             self.connection.memory().record_received(count);
--- a/src/net/downstream/connections/memory.rs
+++ b/src/net/downstream/connections/memory.rs
@@ -98,8 +98,6 @@
     response_bytes: Cell<usize>,
     /// When memory was reserved last.
     reserved_at: Cell<Millis>,
-    /// Whether the connection waits for memory.
-    is_waiting: Cell<bool>,
 }
 
 impl ConnectionMemory {
@@ -156,11 +154,6 @@
         self.response_bytes.set(0);
     }
 
-    /// Whether the connection waits for memory.
-    pub(super) fn is_waiting(&self) -> bool {
-        self.is_waiting.get()
-    }
-
     /// When memory was reserved last.
     pub(super) fn reserved_at(&self) -> Millis {
         self.reserved_at.get()
@@ -195,14 +188,13 @@
 }
 
 impl DownstreamConnections {
-    /// Reserves memory for `connection`, and closes connections to get it if the budget does not suffice.
+    /// Reserves memory for a connection, and closes connections to get it if the budget does not suffice.
     ///
     /// # Errors
     ///
     /// [`OutOfMemory`] if the memory cannot be had within [`MAX_MEMORY_WAIT`].
     pub(super) async fn reserve_memory(
         &self,
-        connection: &ConnectionState,
         usage: MemoryUse,
         bytes: usize,
     ) -> Result<Reservation, OutOfMemory> {
@@ -210,7 +202,7 @@
         if let Ok(reservation) = shared.budget.try_reserve(bytes) {
             return Ok(reservation);
         }
-        let _waiting = MemoryWait::begin(&shared.waiting_bytes, connection.memory(), bytes);
+        let _waiting = MemoryWait::begin(&shared.waiting_bytes, bytes);
         let give_up_at = self.context.clock.now() + MAX_MEMORY_WAIT;
         let mut reserving = std::pin::pin!(shared.budget.reserve(bytes));
         loop {
@@ -279,21 +271,14 @@
 /// The wait of a connection for memory. Dropping it ends the wait.
 struct MemoryWait<'a> {
     waiting_bytes: &'a Cell<usize>,
-    connection: &'a ConnectionMemory,
     bytes: usize,
 }
 
 impl<'a> MemoryWait<'a> {
-    fn begin(
-        waiting_bytes: &'a Cell<usize>,
-        connection: &'a ConnectionMemory,
-        bytes: usize,
-    ) -> MemoryWait<'a> {
+    fn begin(waiting_bytes: &'a Cell<usize>, bytes: usize) -> MemoryWait<'a> {
         waiting_bytes.set(waiting_bytes.get() + bytes);
-        connection.is_waiting.set(true);
         MemoryWait {
             waiting_bytes,
-            connection,
             bytes,
         }
     }
@@ -303,6 +288,5 @@
     fn drop(&mut self) {
         let others = self.waiting_bytes.get() - self.bytes;
         self.waiting_bytes.set(others);
-        self.connection.is_waiting.set(false);
     }
 }
--- a/src/net/downstream/connections/service.rs
+++ b/src/net/downstream/connections/service.rs
@@ -57,7 +57,7 @@
                 _ = connection.as_mut() => return,
                 _ = phase.wait_for(|phase| *phase == ShutdownPhase::ClosingIdle), if !is_closing && !is_late => {}
                 () = late_timeout.as_mut(), if !is_closing && is_late => {}
-                mode = state.close_requested() => if mode == Some(CloseMode::Immediate) { return },
+                mode = state.close_requested() => if mode == CloseMode::Immediate { return },
             }
             is_closing = true;
             connection.as_mut().graceful_shutdown();
--- a/src/net/downstream/connections/state.rs
+++ b/src/net/downstream/connections/state.rs
@@ -38,7 +38,9 @@
 pub(super) enum CloseMode {
     /// After the response to the current request has been written.
     Graceful,
-    /// Immediately, without a response to the current request.
+    /// Immediately, unless a request has been read by the time of the close; then as [`Graceful`](CloseMode::Graceful).
+    UnlessRequestRead,
+    /// Immediately, without a response to the current request: its client has disconnected.
     Immediate,
 }
 
@@ -66,6 +68,9 @@
     first_byte_at: Cell<Option<Millis>>,
     /// When the most recent bytes arrived; the time of the accept before the first ones.
     last_byte_at: Cell<Millis>,
+    /// Whether hyper asked for more bytes last and there were none. What was read then holds no complete request that
+    /// has not been handled.
+    awaits_bytes: Cell<bool>,
     /// Whether a complete request has been read whose response is not ready yet.
     awaits_response: Cell<bool>,
     /// Whether a response is ready that has not been written completely.
@@ -95,6 +100,7 @@
             accepted_at: now,
             first_byte_at: Cell::default(),
             last_byte_at: Cell::new(now),
+            awaits_bytes: Cell::default(),
             awaits_response: Cell::default(),
             response_unwritten: Cell::default(),
             last_response_at: Cell::default(),
@@ -215,6 +221,11 @@
         }
     }
 
+    /// Records whether hyper asks for more bytes and there are none.
+    pub(super) fn set_awaits_bytes(&self, awaits_bytes: bool) {
+        self.awaits_bytes.set(awaits_bytes);
+    }
+
     /// Records that a request has been read completely. Bytes read from now on belong to the next request.
     pub(super) fn request_completed(&self) {
         self.awaits_response.set(true);
@@ -269,6 +280,12 @@
         self.awaits_response.get() || self.response_unwritten.get()
     }
 
+    /// Whether a request may have been read completely and not been answered yet. It counts as read from its last byte
+    /// on, before it has been parsed and while it waits for memory.
+    pub(super) fn may_have_unanswered_request(&self) -> bool {
+        self.is_busy() || !self.awaits_bytes.get()
+    }
+
     /// When the timeout that applies now started: the one of the request that is being read, or the idle timeout. For
     /// the first request it starts at the accept, so that a client cannot use up the timeout first by silence and then
     /// again by a slow request.
@@ -290,16 +307,16 @@
             self.last_response_at.get().is_none() || self.first_byte_at.get().is_some();
         if expects_request {
             let limit = REQUEST_READ_TIMEOUT + READ_TIMEOUT_RESPONSE_GRACE;
-            (elapsed > limit).then_some(CloseMode::Immediate)
+            (elapsed > limit).then_some(CloseMode::UnlessRequestRead)
         } else {
             (elapsed > IDLE_TIMEOUT).then_some(CloseMode::Graceful)
         }
     }
 
-    /// The eviction rank of the connection at `now`. `None` if the connection must not be evicted: a response is
-    /// awaited or being written, a request has only begun to arrive, or the connection is already closing.
+    /// The eviction rank of the connection at `now`. `None` if the connection must not be evicted: a request may have
+    /// been read that is not answered yet, a request has only begun to arrive, or the connection is already closing.
     pub(super) fn eviction_rank(&self, now: Millis) -> Option<EvictionRank> {
-        if self.is_busy() || self.close_requested.get().is_some() {
+        if self.may_have_unanswered_request() || self.close_requested.get().is_some() {
             return None;
         }
         let age = now - self.timeout_started_at();
@@ -312,30 +329,26 @@
         Some(EvictionRank { kind, age })
     }
 
-    /// How the connection may be closed at `now` to get its memory back. `None` if it must not be closed for that: its
-    /// request awaits a response, it has held its memory for a short time only, bytes have arrived that the gateway has
-    /// memory for and has not read yet, or the connection is already closing.
+    /// How the connection may be closed at `now` to get its memory back. `None` if it must not be closed for that.
+    ///
+    /// A connection may be closed for memory only while the gateway waits for its client: it has read all that has
+    /// arrived, and that is no complete request. Who waits for the memory makes no difference.
     pub(super) fn memory_eviction(&self, now: Millis) -> Option<MemoryEviction> {
-        if self.awaits_response.get() || self.close_requested.get().is_some() {
+        let waits_for_client = !self.may_have_unanswered_request() && !self.has_unread_bytes();
+        if !waits_for_client || self.close_requested.get().is_some() {
             return None;
         }
-        let is_idle = !self.is_busy()
-            && self.last_response_at.get().is_some()
-            && self.first_byte_at.get().is_none();
+        let is_idle = self.last_response_at.get().is_some() && self.first_byte_at.get().is_none();
         if is_idle {
-            return (!self.has_unread_bytes()).then(|| MemoryEviction {
+            return Some(MemoryEviction {
                 mode: CloseMode::Graceful,
                 held_for: now - self.timeout_started_at(),
             });
         }
-        let held_for = now - self.memory.reserved_at();
-        if held_for < HOLDING_GRACE {
-            return None;
-        }
-        let is_stalled =
-            self.response_unwritten.get() || self.memory.is_waiting() || !self.has_unread_bytes();
-        is_stalled.then_some(MemoryEviction {
-            mode: CloseMode::Immediate,
+        // A kept connection may have reserved its read buffer for an earlier request.
+        let held_for = now - self.memory.reserved_at().max(self.request_started_at());
+        (held_for >= HOLDING_GRACE).then_some(MemoryEviction {
+            mode: CloseMode::UnlessRequestRead,
             held_for,
         })
     }
@@ -351,10 +364,17 @@
         self.close_signal.notify_one();
     }
 
-    /// Waits until a close is requested, and returns its mode.
-    pub(super) async fn close_requested(&self) -> Option<CloseMode> {
+    /// Waits until a close is requested, and returns how to close now.
+    pub(super) async fn close_requested(&self) -> CloseMode {
         self.close_signal.notified().await;
-        self.close_requested.get()
+        match self.close_requested.get() {
+            Some(CloseMode::Immediate) => CloseMode::Immediate,
+            // The rest of a request may have been read between the request to close and this call.
+            Some(CloseMode::UnlessRequestRead) if !self.may_have_unanswered_request() => {
+                CloseMode::Immediate
+            }
+            _ => CloseMode::Graceful,
+        }
     }
 }
 
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -3,7 +3,7 @@
 
 use cometspool_fault_injection::scripted_peers::*;
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -37,6 +37,11 @@
 impl SmallGateway {
     /// Starts the gateway and two backends. Each backend answers all requests with `response_body`, or none of them.
     fn start(response_body: Option<&'static str>) -> SmallGateway {
+        SmallGateway::with_memory(MEMORY_MB, response_body)
+    }
+
+    /// As [`start`](SmallGateway::start), with a memory limit of `memory_mb`.
+    fn with_memory(memory_mb: usize, response_body: Option<&'static str>) -> SmallGateway {
         let discovery = TestListener::new();
         let hosts: Vec<Value> = (0..2)
             .map(|number| {
@@ -47,7 +52,7 @@
             })
             .collect();
         let program = GatewayProcess::start_with_limits(
-            json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTOR_LIMIT}),
+            json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTOR_LIMIT}),
             default_settings(),
             discovery.address(),
             endpoint_list(1, true, &hosts),
@@ -142,9 +147,14 @@
 
 /// Runs `client` in [`CLIENTS`] threads at once, and returns their results.
 fn run_clients<T: Send>(client: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    run_many_clients(CLIENTS, client)
+}
+
+/// Runs `client` in `count` threads at once, and returns their results.
+fn run_many_clients<T: Send>(count: usize, client: impl Fn(usize) -> T + Sync) -> Vec<T> {
     let client = &client;
     std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..CLIENTS)
+        let threads: Vec<_> = (0..count)
             .map(|number| scope.spawn(move || client(number)))
             .collect();
         threads
@@ -224,3 +234,126 @@
         assert_eq!(gateway.status_of(HEALTH_CHECK.as_bytes()), Some(200));
     });
 }
+
+/// Memory limit at which clients with kept connections keep them while others fill the memory for requests, in MiB.
+const LARGE_MEMORY_MB: usize = 192;
+/// Clients that fill this memory.
+const STALLED_CLIENTS: usize = 500;
+/// How long a stalled client that was turned away stays away.
+const STALLED_PAUSE: Duration = Duration::from_secs(1);
+/// Clients with kept connections, each with one request at a time.
+const KEPT_CLIENTS: usize = 96;
+/// How long these clients and those that stop in the middle of requests go on.
+const PRESSURE_TIME: Duration = Duration::from_secs(10);
+/// Length of a body that needs a reservation, and fits into the read buffer with its head, in bytes.
+const BODY_IN_READ_BUFFER: usize = 5_000;
+/// How long after the end of a connection a reset may follow, if the gateway had not read all bytes.
+const RESET_WAIT: Duration = Duration::from_millis(300);
+
+/// How the exchange of a request on a kept connection ended.
+enum KeptExchange {
+    Answered(TcpStream),
+    /// The gateway read the request, and closed the connection in order without a response.
+    ReadAndDropped,
+    /// The connection ended before the gateway had read the request.
+    Unread,
+}
+
+impl KeptExchange {
+    /// Sends a request on a connection on which one has been answered before.
+    fn run(mut stream: TcpStream, request: &[u8]) -> KeptExchange {
+        if stream.write_all(request).is_err() {
+            return KeptExchange::Unread;
+        }
+        match read_response(&mut stream) {
+            Ok(true) => KeptExchange::Answered(stream),
+            Ok(false) => {
+                std::thread::sleep(RESET_WAIT);
+                match stream.take_error() {
+                    Ok(None) => KeptExchange::ReadAndDropped,
+                    _ => KeptExchange::Unread,
+                }
+            }
+            Err(_) => KeptExchange::Unread,
+        }
+    }
+}
+
+/// Reads a response without a body, or with one that comes with its head. Returns whether there was any.
+fn read_response(stream: &mut TcpStream) -> std::io::Result<bool> {
+    let mut bytes = [0; 4096];
+    Ok(stream.read(&mut bytes)? > 0)
+}
+
+/// Sends requests on kept connections for [`PRESSURE_TIME`]. Returns the number of answers, and the ids of the requests
+/// that were read and dropped.
+fn kept_client(gateway: &SmallGateway, number: usize) -> (usize, Vec<String>) {
+    let started_at = Instant::now();
+    let mut answers = 0;
+    let mut dropped = Vec::new();
+    let mut kept = None;
+    for round in 0.. {
+        if started_at.elapsed() > PRESSURE_TIME {
+            break;
+        }
+        let id = format!("kept-{number}-{round}");
+        let request = long_request(&id, 0, BODY_IN_READ_BUFFER);
+        kept = match kept {
+            None => {
+                let mut stream = gateway.program.connect_client().reader.into_inner();
+                stream.write_all(&request).ok();
+                read_response(&mut stream)
+                    .unwrap_or(false)
+                    .then_some(stream)
+            }
+            Some(stream) => match KeptExchange::run(stream, &request) {
+                KeptExchange::Answered(stream) => Some(stream),
+                KeptExchange::ReadAndDropped => {
+                    dropped.push(id);
+                    None
+                }
+                KeptExchange::Unread => None,
+            },
+        };
+        answers += usize::from(kept.is_some());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    (answers, dropped)
+}
+
+/// Stops in the middle of a long request and stays until the error or the close, again and again.
+fn stalled_client(gateway: &SmallGateway, number: usize) {
+    let started_at = Instant::now();
+    for round in 0.. {
+        if started_at.elapsed() > PRESSURE_TIME {
+            break;
+        }
+        let mut request = long_request(&format!("bad-{number}-{round}"), 0, LONGEST_BODY);
+        request.truncate(LONGEST_BODY);
+        gateway.status_of(&request);
+        std::thread::sleep(STALLED_PAUSE);
+    }
+}
+
+/// Guards against connections that are closed for memory although their request has been read and waits for memory
+/// itself: sound requests on kept connections, while hundreds of clients that stop in the middle of requests hold the
+/// memory for requests.
+#[test]
+fn a_request_that_was_read_is_not_dropped_for_memory() {
+    let gateway = SmallGateway::with_memory(LARGE_MEMORY_MB, Some("ok"));
+    std::thread::scope(|scope| {
+        scope
+            .spawn(|| run_many_clients(STALLED_CLIENTS, |number| stalled_client(&gateway, number)));
+        let kept: Vec<_> = (0..KEPT_CLIENTS)
+            .map(|number| {
+                let gateway = &gateway;
+                scope.spawn(move || kept_client(gateway, number))
+            })
+            .collect();
+        for client in kept {
+            let (answers, dropped) = client.join().expect("the client");
+            assert!(answers > 0, "no request was answered");
+            assert!(dropped.is_empty(), "read and dropped: {dropped:?}");
+        }
+    });
+}
