Reserve what responses take before they are read, from shares below the limit

Cause: the shares of memory summed to 7/8 of the limit, without the process, the short memory of connections and the first 64 KiB of each response.

Change: MemoryShares and the limits of connections draw all from one sum below the limit. Memory for a response is reserved before it is read, old and new buffer together, and kept until it is written to the client; up to 64 KiB it waits and holds none meanwhile, beyond that it fails if there is not enough. Reads of at most 4 KiB keep hyper's read buffers small at clients and backends; a long head reserves a large one. Bodies go to backends without a copy. Read buffers and bodies of requests have budgets of their own. The second reservation for responses at the client is gone.

Why it works: nothing grows before its memory is reserved, and a unit test adds up the shares for 32 MB to 4 GB and 256 to 65,536 descriptors.

The unit test of the shares is replaced by one that also counts connections and the process, at the same bound.

--- a/src/net/downstream/connections.rs
+++ b/src/net/downstream/connections.rs
@@ -7,7 +7,7 @@
 //! | `service` | serves one connection: passes its requests to the [`RequestHandler`] and writes the answers |
 //! | `memory` | the memory that clients make the gateway hold |
 //! | `read_ahead` | pipelined bytes behind a request |
-//! | `body` | reads request bodies and hands over response bodies within that memory |
+//! | `body` | reads request bodies within that memory |
 //! | `response` | builds the HTTP responses |
 //! | `eviction`, `eviction_rank` | which connection is closed for a new one at the connection limit |
 //! | `shutdown` | graceful shutdown |
@@ -82,8 +82,8 @@
 
 impl DownstreamConnections {
     /// Creates the registry of the connections whose requests `handler` answers. The connection limit follows from
-    /// `descriptors`, the number of file descriptors that clients and backends may use, and the limits on what clients
-    /// make the gateway hold from `memory`, the memory limit of the process in bytes.
+    /// `descriptors`, the number of file descriptors that clients and backends may use, and from `memory`, the memory
+    /// limit of the process in bytes, which also gives the limits on what clients make the gateway hold.
     pub(crate) fn new(
         handler: Rc<dyn RequestHandler>,
         context: Rc<RuntimeContext>,
@@ -93,7 +93,7 @@
         Rc::new(DownstreamConnections {
             handler,
             context,
-            limit: client_connection_limit(descriptors),
+            limit: client_connection_limit(descriptors, memory),
             memory: ClientMemory::new(memory),
             open: RefCell::default(),
             accepted: Cell::new(0),
@@ -120,7 +120,7 @@
         let connection = Rc::new(ConnectionState::new(
             self.context.clock.now(),
             stream,
-            self.memory.request_budget(),
+            self.memory.read_buffer_budget(),
         ));
         let number = self.accepted.get() + 1;
         self.accepted.set(number);
--- a/src/net/downstream/connections/body.rs
+++ b/src/net/downstream/connections/body.rs
@@ -1,10 +1,10 @@
-//! Reads request bodies and hands over response bodies, within the memory for clients.
+//! Reads request bodies within the memory for clients.
 
-use super::memory::{MemoryUse, LARGE_READ_BUFFER_BYTES};
+use super::memory::MemoryUse;
 use super::state::ConnectionState;
 use super::DownstreamConnections;
 use crate::net::downstream::request::RequestError;
-use crate::net::messages::{Answer, MAX_BODY_BYTES};
+use crate::net::messages::MAX_BODY_BYTES;
 use crate::net::runtime::capacity::MAX_UNRESERVED_BYTES;
 use crate::net::runtime::memory::{OutOfMemory, Reservation, ReservedBytes};
 use http_body_util::BodyExt;
@@ -50,6 +50,7 @@
         state: &ConnectionState,
     ) -> Result<Bytes, RequestError> {
         let reservation = self.reserve_request_body(length, state).await?;
+        state.memory().body_started();
         let mut received = Vec::with_capacity(length);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(read_error)?.into_data() else {
@@ -66,8 +67,7 @@
         })
     }
 
-    /// Reserves the memory of a request body, unless it is short. If the read buffer will grow as well, both are
-    /// reserved together: requests that each hold a part of their memory and wait for the rest would block each other.
+    /// Reserves the memory of a request body, unless it is short.
     async fn reserve_request_body(
         &self,
         length: usize,
@@ -76,43 +76,11 @@
         if length <= MAX_UNRESERVED_BYTES {
             return Ok(None);
         }
-        let memory = state.memory();
-        let buffer_bytes = if memory.readable_bytes() < length {
-            LARGE_READ_BUFFER_BYTES
-        } else {
-            0
-        };
-        let total = length + buffer_bytes;
-        let mut reservation = self.reserve_memory(MemoryUse::Request, total).await?;
+        let reservation = self.reserve_memory(MemoryUse::Body, length).await?;
         let now = self.context.clock.now();
-        if buffer_bytes > 0 {
-            if let Some(buffer) = reservation.split(buffer_bytes) {
-                memory.set_read_buffer(now, buffer);
-            }
-        }
-        memory.set_body_bytes(now, length);
+        state.memory().set_body_bytes(now, length);
         Ok(Some(reservation))
     }
-
-    /// Reserves memory for the response of an answer until it has been written. The memory of a longer response than
-    /// [`MAX_BODY_BYTES`] has been reserved when it was read from the backend.
-    pub(super) async fn reserve_response(&self, answer: Answer, state: &ConnectionState) -> Answer {
-        let Answer::Served(body) = answer else {
-            return answer;
-        };
-        let len = body.len();
-        if !(MAX_UNRESERVED_BYTES + 1..=MAX_BODY_BYTES).contains(&len) {
-            return Answer::Served(body);
-        }
-        match self.reserve_memory(MemoryUse::Response, len).await {
-            Ok(reservation) => {
-                let now = self.context.clock.now();
-                state.memory().set_response_bytes(now, len);
-                Answer::Served(Bytes::from_owner(ReservedBytes::new(body, reservation)))
-            }
-            Err(OutOfMemory) => Answer::Failed,
-        }
-    }
 }
 
 /// The error of a body that hyper could not read.
--- a/src/net/downstream/connections/io.rs
+++ b/src/net/downstream/connections/io.rs
@@ -1,8 +1,9 @@
 //! The adapter through which hyper reads and writes a client's socket.
 
-use super::memory::{MemoryUse, LARGE_READ_BUFFER_BYTES};
+use super::memory::MemoryUse;
 use super::state::ConnectionState;
 use super::DownstreamConnections;
+use crate::net::runtime::capacity::LARGE_READ_BUFFER_BYTES;
 use crate::net::runtime::memory::{OutOfMemory, Reservation};
 use std::future::Future;
 use std::io;
@@ -55,7 +56,7 @@
         let reserving = self.reserving.get_or_insert_with(|| {
             let connections = connections.clone();
             Box::pin(async move {
-                let usage = MemoryUse::Request;
+                let usage = MemoryUse::ReadBuffer;
                 connections
                     .reserve_memory(usage, LARGE_READ_BUFFER_BYTES)
                     .await
--- a/src/net/downstream/connections/memory.rs
+++ b/src/net/downstream/connections/memory.rs
@@ -1,24 +1,22 @@
-//! The memory that clients make the gateway hold: read buffers, request bodies, and responses that are being written.
+//! The memory that clients make the gateway hold while it reads their requests: read buffers and request bodies.
 //!
-//! Each connection may hold a little without a reservation: a small read buffer, a short body and a short response. All
-//! beyond that is reserved from one budget for requests and one for responses. When a budget does not suffice, a
-//! connection reads or writes no further until memory has been returned, and the connections that have held the most
-//! memory for the longest time are closed. A request that has been read completely keeps its memory until its last
-//! attempt has ended, and its connection is not closed for memory before it has been answered.
+//! Each connection may hold a little without a reservation: a small read buffer, a short body and a short read-ahead.
+//! All beyond that is reserved from one budget for read buffers and one for bodies. A connection that waits for the
+//! memory of a body may hold a read buffer and never the other way round, so that no two wait for each other. When a
+//! budget does not suffice, a connection reads no further until memory has been returned, and the connections that have
+//! held the most memory for the longest time while the gateway waits for their clients are closed. A request that has
+//! been read completely keeps its memory until its last attempt has ended, and its connection is not closed for memory
+//! before it has been answered.
 
 use super::state::{CloseMode, ConnectionState};
 use super::DownstreamConnections;
-use crate::net::runtime::capacity::{request_memory, response_memory, CONNECTION_BUFFER_BYTES};
+use crate::net::runtime::capacity::{MemoryShares, SMALL_READ_BUFFER_BYTES};
 use crate::net::runtime::memory::{MemoryBudget, OutOfMemory, Reservation};
 use cometspool::Millis;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Maximum size of a read buffer for which no memory is reserved, in bytes.
-pub(super) const SMALL_READ_BUFFER_BYTES: usize = 4 * 1024;
-/// Memory reserved for a larger read buffer, in bytes. Its capacity grows by half beyond [`CONNECTION_BUFFER_BYTES`].
-pub(super) const LARGE_READ_BUFFER_BYTES: usize = CONNECTION_BUFFER_BYTES * 3 / 2;
 /// Shortest time between two searches for connections to close, in milliseconds: a search looks at all connections, and
 /// hundreds may wait.
 const EVICTION_INTERVAL: Millis = 10.0;
@@ -33,16 +31,16 @@
 /// What memory is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum MemoryUse {
-    /// Read buffers and request bodies.
-    Request,
-    /// Responses that are being written.
-    Response,
+    /// Read buffers of long request heads, and long read-ahead.
+    ReadBuffer,
+    /// Request bodies.
+    Body,
 }
 
 /// The memory for all connections.
 pub(super) struct ClientMemory {
-    requests: SharedBudget,
-    responses: SharedBudget,
+    read_buffers: SharedBudget,
+    bodies: SharedBudget,
 }
 
 /// A budget, and the memory that connections wait for.
@@ -66,21 +64,22 @@
 impl ClientMemory {
     /// The shares of client connections in a process with `memory` bytes.
     pub(super) fn new(memory: usize) -> ClientMemory {
+        let shares = MemoryShares::of(memory);
         ClientMemory {
-            requests: SharedBudget::new(request_memory(memory)),
-            responses: SharedBudget::new(response_memory(memory)),
+            read_buffers: SharedBudget::new(shares.read_buffers),
+            bodies: SharedBudget::new(shares.request_bodies),
         }
     }
 
-    /// The budget of request memory.
-    pub(super) fn request_budget(&self) -> &MemoryBudget {
-        &self.requests.budget
+    /// The budget of read buffers.
+    pub(super) fn read_buffer_budget(&self) -> &MemoryBudget {
+        &self.read_buffers.budget
     }
 
     fn shared_budget(&self, usage: MemoryUse) -> &SharedBudget {
         match usage {
-            MemoryUse::Request => &self.requests,
-            MemoryUse::Response => &self.responses,
+            MemoryUse::ReadBuffer => &self.read_buffers,
+            MemoryUse::Body => &self.bodies,
         }
     }
 }
@@ -94,8 +93,8 @@
     read_buffer: RefCell<Option<Reservation>>,
     /// Memory reserved for the body that is being read, in bytes.
     body_bytes: Cell<usize>,
-    /// Memory reserved for the response that is being written, in bytes.
-    response_bytes: Cell<usize>,
+    /// Whether a body is being read. hyper then reads only when its read buffer is empty.
+    is_reading_body: Cell<bool>,
     /// When memory was reserved last.
     reserved_at: Cell<Millis>,
 }
@@ -106,6 +105,9 @@
         if self.has_large_read_buffer() {
             return usize::MAX;
         }
+        if self.is_reading_body.get() {
+            return SMALL_READ_BUFFER_BYTES;
+        }
         SMALL_READ_BUFFER_BYTES.saturating_sub(self.received_bytes.get())
     }
 
@@ -132,6 +134,11 @@
         self.read_buffer.replace(Some(reservation));
     }
 
+    /// Records that a body is being read from now on.
+    pub(super) fn body_started(&self) {
+        self.is_reading_body.set(true);
+    }
+
     /// Records the memory that is reserved for the body that is being read.
     pub(super) fn set_body_bytes(&self, now: Millis, bytes: usize) {
         self.reserved_at.set(now);
@@ -140,20 +147,10 @@
 
     /// Records that no body is being read any more.
     pub(super) fn body_ended(&self) {
+        self.is_reading_body.set(false);
         self.body_bytes.set(0);
     }
 
-    /// Records the memory that is reserved for the response that is being written.
-    pub(super) fn set_response_bytes(&self, now: Millis, bytes: usize) {
-        self.reserved_at.set(now);
-        self.response_bytes.set(bytes);
-    }
-
-    /// Records that the response has been written.
-    pub(super) fn response_written(&self) {
-        self.response_bytes.set(0);
-    }
-
     /// When memory was reserved last.
     pub(super) fn reserved_at(&self) -> Millis {
         self.reserved_at.get()
@@ -162,11 +159,11 @@
     /// The memory of this use that is returned when the connection is closed, in bytes.
     pub(super) fn held_bytes(&self, usage: MemoryUse) -> usize {
         match usage {
-            MemoryUse::Request => {
+            MemoryUse::ReadBuffer => {
                 let read_buffer = self.read_buffer.borrow();
-                read_buffer.as_ref().map_or(0, Reservation::bytes) + self.body_bytes.get()
+                read_buffer.as_ref().map_or(0, Reservation::bytes)
             }
-            MemoryUse::Response => self.response_bytes.get(),
+            MemoryUse::Body => self.body_bytes.get(),
         }
     }
 }
--- a/src/net/downstream/connections/service.rs
+++ b/src/net/downstream/connections/service.rs
@@ -76,7 +76,7 @@
             response::health(self.handler.is_ready())
         } else {
             match self.handle(request, state).await {
-                Ok(answer) => response::answer(self.reserve_response(answer, state).await),
+                Ok(answer) => response::answer(answer),
                 Err(error) => {
                     // After an invalid request, the following bytes cannot be trusted to begin a new request.
                     close = true;
--- a/src/net/downstream/connections/state.rs
+++ b/src/net/downstream/connections/state.rs
@@ -84,18 +84,18 @@
 }
 
 impl ConnectionState {
-    /// Creates the state of a connection that was accepted at `now`. Memory for its requests is reserved from
-    /// `request_budget`.
+    /// Creates the state of a connection that was accepted at `now`. Memory for long read-ahead is reserved from
+    /// `read_buffer_budget`.
     pub(super) fn new(
         now: Millis,
         stream: TcpStream,
-        request_budget: &MemoryBudget,
+        read_buffer_budget: &MemoryBudget,
     ) -> ConnectionState {
         // A failure is ignored: without TCP_NODELAY responses may be delayed, but they are correct.
         let _ = stream.set_nodelay(true);
         ConnectionState {
             socket: RefCell::new(Some(stream)),
-            read_ahead: RefCell::new(ReadAhead::new(request_budget.clone())),
+            read_ahead: RefCell::new(ReadAhead::new(read_buffer_budget.clone())),
             memory: ConnectionMemory::default(),
             accepted_at: now,
             first_byte_at: Cell::default(),
@@ -244,7 +244,6 @@
     /// Records that the response has been written completely.
     pub(super) fn response_written(&self) {
         self.response_unwritten.set(false);
-        self.memory.response_written();
     }
 
     /// When the first byte of the current request arrived. If the request arrived in the same read as the previous one,
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -118,16 +118,18 @@
         let memory_bytes = config.limits.memory_bytes();
         let connection_limit =
             capacity::upstream_connection_limit(config.descriptor_budget(), memory_bytes);
+        let response_reader = ResponseReader::new(settings, memory_bytes);
         let connections = Rc::new(UpstreamConnections::new(
             settings.connections,
             connection_limit,
+            response_reader.long_response_budget(),
             settings.settings.gateways,
             config.seed,
             clock,
         ));
         let transport = UpstreamTransport {
             connections: connections.clone(),
-            response_reader: Rc::new(ResponseReader::new(settings, memory_bytes)),
+            response_reader: Rc::new(response_reader),
             clock,
         };
         let executor = socket_executor(transport);
--- a/src/net/driver/tests/fixture.rs
+++ b/src/net/driver/tests/fixture.rs
@@ -8,6 +8,7 @@
 use crate::net::messages::{ClientConnection, IncomingRequest, UpstreamRequest};
 use crate::net::runtime::budget::Budget;
 use crate::net::runtime::clock::{Clock, Skew};
+use crate::net::runtime::memory::MemoryBudget;
 use crate::net::runtime::stall::WakeRecorder;
 use crate::net::upstream::pool_driver::UpstreamConnections;
 use cometspool::settings::{ConnectionSettings, Names, ParsedSettings};
@@ -115,6 +116,7 @@
     let connections = Rc::new(UpstreamConnections::new(
         config.parsed.connections,
         8,
+        MemoryBudget::new(0),
         1,
         seed,
         clock,
--- a/src/net/runtime/capacity/tests.rs
+++ b/src/net/runtime/capacity/tests.rs
@@ -9,17 +9,29 @@
     assert_eq!(upstream_connection_limit(1024, 32 << 20), 170);
     assert_eq!(upstream_connection_limit(1024, 192 << 20), 400);
     assert_eq!(upstream_connection_limit(32, 1 << 20), 3);
-    assert_eq!(client_connection_limit(256), 140);
+    assert_eq!(client_connection_limit(256, 32 << 20), 140);
+    assert_eq!(client_connection_limit(1024, 32 << 20), 600);
+    assert_eq!(client_connection_limit(4096, 32 << 20), 614);
 }
 
-/// Guards the memory limit of the process: what clients, long responses and backend connections may take leaves a part
-/// of it, and even the smallest share holds one longest request.
+/// Guards the memory limit of the process: whatever the descriptors, all that it can hold at once is less than the
+/// limit, and even the smallest share holds one longest request.
 #[test]
 fn the_shares_of_memory_leave_a_part_of_the_limit() {
-    let memory = 32 << 20;
-    let connections = upstream_connection_limit(1024, memory) * 2 * CONNECTION_BUFFER_BYTES;
-    let long_responses = memory / 4;
-    let shares = request_memory(memory) + response_memory(memory) + connections + long_responses;
-    assert!(shares < memory * 9 / 10, "{shares} of {memory} bytes");
-    assert!(request_memory(1 << 20) >= 64 * 1024 + CONNECTION_BUFFER_BYTES * 3 / 2);
+    for megabytes in 32..=4096 {
+        let memory = megabytes << 20;
+        for descriptors in [256, 768, 1024, 4096, 65_536] {
+            let clients = client_connection_limit(descriptors, memory) * CLIENT_CONNECTION_BYTES;
+            let backends =
+                upstream_connection_limit(descriptors, memory) * UPSTREAM_CONNECTION_BYTES;
+            let total = PROCESS_BYTES + clients + backends + MemoryShares::of(memory).total();
+            assert!(
+                total < memory * 9 / 10,
+                "{total} of {memory} bytes with {descriptors} descriptors"
+            );
+        }
+    }
+    let smallest = MemoryShares::of(1 << 20);
+    assert!(smallest.read_buffers >= LARGE_READ_BUFFER_BYTES);
+    assert!(smallest.request_bodies >= 64 * 1024 && smallest.responses >= 64 * 1024);
 }
--- a/src/net/runtime/memory.rs
+++ b/src/net/runtime/memory.rs
@@ -23,23 +23,17 @@
         }
     }
 
-    /// A reservation of no bytes, which can grow.
-    pub(crate) fn empty_reservation(&self) -> Reservation {
-        Reservation {
-            budget: self.clone(),
-            permit: None,
-        }
-    }
-
     /// Reserves `bytes`.
     ///
     /// # Errors
     ///
     /// [`OutOfMemory`] if less is available now, or if others wait for memory.
     pub(crate) fn try_reserve(&self, bytes: usize) -> Result<Reservation, OutOfMemory> {
-        let mut reservation = self.empty_reservation();
-        reservation.grow_by(bytes)?;
-        Ok(reservation)
+        let count = u32::try_from(bytes).map_err(|_| OutOfMemory)?;
+        let permit = self.available.clone().try_acquire_many_owned(count);
+        Ok(Reservation {
+            permit: permit.map_err(|_| OutOfMemory)?,
+        })
     }
 
     /// Reserves `bytes` as soon as they are available. Those that wait are served in the order of their calls.
@@ -51,8 +45,7 @@
         let count = u32::try_from(bytes).map_err(|_| OutOfMemory)?;
         let permit = self.available.clone().acquire_many_owned(count).await;
         Ok(Reservation {
-            budget: self.clone(),
-            permit: Some(permit.map_err(|_| OutOfMemory)?),
+            permit: permit.map_err(|_| OutOfMemory)?,
         })
     }
 }
@@ -60,50 +53,19 @@
 /// Reserved memory; returned to its budget on drop.
 #[derive(Debug)]
 pub(crate) struct Reservation {
-    budget: MemoryBudget,
-    /// `None` while nothing is reserved.
-    permit: Option<OwnedSemaphorePermit>,
+    permit: OwnedSemaphorePermit,
 }
 
 impl Reservation {
     /// The reserved bytes.
     pub(crate) fn bytes(&self) -> usize {
-        self.permit
-            .as_ref()
-            .map_or(0, OwnedSemaphorePermit::num_permits)
+        self.permit.num_permits()
     }
 
-    /// Grows the reservation to `bytes` in total, if it is smaller.
-    ///
-    /// # Errors
-    ///
-    /// [`OutOfMemory`] if less is available. The reservation then stays as it is.
-    pub(crate) fn grow_to(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
-        self.grow_by(bytes.saturating_sub(self.bytes()))
-    }
-
-    /// Splits off `bytes`; `None` if less is reserved.
-    pub(crate) fn split(&mut self, bytes: usize) -> Option<Reservation> {
-        Some(Reservation {
-            budget: self.budget.clone(),
-            permit: Some(self.permit.as_mut()?.split(bytes)?),
-        })
-    }
-
-    fn grow_by(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
-        if bytes == 0 {
-            return Ok(());
-        }
-        let count = u32::try_from(bytes).map_err(|_| OutOfMemory)?;
-        let available = self.budget.available.clone();
-        let permit = available
-            .try_acquire_many_owned(count)
-            .map_err(|_| OutOfMemory)?;
-        match &mut self.permit {
-            Some(held) => held.merge(permit),
-            None => self.permit = Some(permit),
-        }
-        Ok(())
+    /// Returns all but `bytes` to the budget, if more is reserved.
+    pub(crate) fn shrink_to(&mut self, bytes: usize) {
+        let excess = self.bytes().saturating_sub(bytes);
+        drop(self.permit.split(excess));
     }
 }
 
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -104,7 +104,7 @@
     spawn_local(connections.clone().close_expired_connections());
     let fleet = match config.fleet {
         Some(section) => {
-            let max_clients = client_connection_limit(descriptors).max(1);
+            let max_clients = client_connection_limit(descriptors, memory).max(1);
             Some(
                 start_fleet(
                     section,
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -149,7 +149,10 @@
             connections.record_reuse(idle_for, sent.is_err());
         }
         let received = match sent {
-            Ok(response) => self.transport.response_reader.read(response).await.ok(),
+            Ok(response) => {
+                connection.socket.response_head_received();
+                self.transport.response_reader.read(response).await.ok()
+            }
             Err(_) => None,
         };
         let is_fully_written = connection.socket.is_fully_written();
@@ -168,7 +171,8 @@
         if received.result.outcome == Outcome::Rejected && connection.idle_for.is_none() {
             connections.record_table_full(self.backend);
         }
-        if is_fully_written && received.is_delimited {
+        let is_reusable = received.is_delimited && !connection.socket.has_large_read_buffer();
+        if is_fully_written && is_reusable {
             connection.release();
         }
         Exchange::Completed(received.result)
--- a/src/net/upstream/attempt/tests.rs
+++ b/src/net/upstream/attempt/tests.rs
@@ -34,10 +34,12 @@
     };
     let settings = settings::parse("extra.max_units=8").expect("settings");
     let clock = Clock::new();
-    let connections = UpstreamConnections::new(connection_settings, 8, 1, 1, clock);
+    let response_reader = ResponseReader::new(&settings, 0);
+    let head_budget = response_reader.long_response_budget();
+    let connections = UpstreamConnections::new(connection_settings, 8, head_budget, 1, 1, clock);
     UpstreamTransport {
         connections: Rc::new(connections),
-        response_reader: Rc::new(ResponseReader::new(&settings, 0)),
+        response_reader: Rc::new(response_reader),
         clock,
     }
 }
--- a/src/net/upstream/pool_driver/connection.rs
+++ b/src/net/upstream/pool_driver/connection.rs
@@ -2,6 +2,7 @@
 
 use super::socket::{ConnectionSocket, SocketIo};
 use crate::net::runtime::capacity::CONNECTION_BUFFER_BYTES;
+use crate::net::runtime::memory::MemoryBudget;
 use cometspool::connection_pool::DialFailure;
 use cometspool::Millis;
 use http_body_util::Full;
@@ -29,7 +30,7 @@
 
 impl Connection {
     /// Starts HTTP/1.1 on a stream to `address`, and spawns a task that drives the connection until
-    /// it ends.
+    /// it ends. Memory for long response heads is reserved from `head_budget`.
     ///
     /// # Errors
     ///
@@ -37,9 +38,10 @@
     pub(super) async fn start(
         stream: TcpStream,
         address: SocketAddr,
+        head_budget: MemoryBudget,
     ) -> Result<Connection, DialError> {
         stream.set_nodelay(true)?;
-        let socket = Rc::new(ConnectionSocket::new(stream));
+        let socket = Rc::new(ConnectionSocket::new(stream, head_budget));
         let (sender, connection) = Builder::new()
             .max_buf_size(CONNECTION_BUFFER_BYTES)
             .handshake(TokioIo::new(SocketIo(socket.clone())))
--- a/src/net/upstream/pool_driver/mod.rs
+++ b/src/net/upstream/pool_driver/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) use checkout::{CheckedOutConnection, CheckoutError};
 
 use crate::net::runtime::clock::Clock;
+use crate::net::runtime::memory::MemoryBudget;
 use cometspool::connection_pool::{ConnectionPool, PoolLimits};
 use cometspool::settings::ConnectionSettings;
 use cometspool::{BackendId, DeliveryMode, Millis};
@@ -30,11 +31,13 @@
 
 impl UpstreamConnections {
     /// Creates pools without backends for one of `gateway_count` gateways, with at most
-    /// `max_connections` connections and dials in flight in total. `seed` randomizes the times of
+    /// `max_connections` connections and dials in flight in total. Memory for long response heads is reserved from
+    /// `head_budget`. `seed` randomizes the times of
     /// preconnect dials.
     pub(crate) fn new(
         settings: ConnectionSettings,
         max_connections: usize,
+        head_budget: MemoryBudget,
         gateway_count: u32,
         seed: u64,
         clock: Clock,
@@ -49,7 +52,13 @@
         let dial_timeout =
             Duration::try_from_secs_f64(settings.dial_timeout / 1000.0).unwrap_or_default();
         UpstreamConnections {
-            state: Rc::new(PoolState::new(limits, dial_timeout, seed, clock)),
+            state: Rc::new(PoolState::new(
+                limits,
+                dial_timeout,
+                head_budget,
+                seed,
+                clock,
+            )),
         }
     }
 
--- a/src/net/upstream/pool_driver/pool_state.rs
+++ b/src/net/upstream/pool_driver/pool_state.rs
@@ -3,6 +3,7 @@
 
 use super::connection::{Connection, DialError};
 use crate::net::runtime::clock::Clock;
+use crate::net::runtime::memory::MemoryBudget;
 use cometspool::connection_pool::{
     ConnectionId, ConnectionPool, DialId, PoolAction, PoolError, PoolLimits, WaiterId,
 };
@@ -53,6 +54,8 @@
     pub(super) waiters: RefCell<HashMap<WaiterId, oneshot::Sender<WaitResult>>>,
     pub(super) endpoints: RefCell<HashMap<BackendId, Endpoint>>,
     pub(super) dial_timeout: Duration,
+    /// The memory of long response heads.
+    head_budget: MemoryBudget,
     /// The id that was assigned last to a connection or a waiter.
     last_id: Cell<u64>,
     /// The estimated round-trip time to a backend, in milliseconds: about the shortest recent dial.
@@ -64,6 +67,7 @@
     pub(super) fn new(
         limits: PoolLimits,
         dial_timeout: Duration,
+        head_budget: MemoryBudget,
         seed: u64,
         clock: Clock,
     ) -> PoolState {
@@ -74,6 +78,7 @@
             waiters: RefCell::default(),
             endpoints: RefCell::default(),
             dial_timeout,
+            head_budget,
             last_id: Cell::new(0),
             round_trip: Cell::default(),
         }
@@ -185,7 +190,7 @@
         let started_at = Instant::now();
         let stream = TcpStream::connect(address).await?;
         self.record_round_trip(started_at.elapsed());
-        Connection::start(stream, address).await
+        Connection::start(stream, address, self.head_budget.clone()).await
     }
 
     /// Updates the estimated round-trip time with the duration of a dial. A dial takes one round
--- a/src/net/upstream/pool_driver/request_progress.rs
+++ b/src/net/upstream/pool_driver/request_progress.rs
@@ -1,6 +1,8 @@
 //! Tracks how much of a request has been written to a socket, from the bytes that the HTTP library
 //! writes.
 
+use std::io::IoSlice;
+
 /// The empty line that ends the head of a request.
 const HEAD_TERMINATOR: &[u8] = b"\r\n\r\n";
 
@@ -63,10 +65,12 @@
         self.head_complete && self.body_remaining == 0
     }
 
-    /// Whether writing these bytes next would complete the request.
-    pub(super) fn would_complete(&self, bytes: &[u8]) -> bool {
+    /// Whether writing these buffers next would complete the request.
+    pub(super) fn would_complete(&self, bufs: &[IoSlice<'_>]) -> bool {
         let mut progress = self.clone();
-        progress.record(bytes);
+        for buf in bufs {
+            progress.record(buf);
+        }
         progress.is_complete()
     }
 }
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -5,7 +5,8 @@
 //! is closed in order, and truncated if the connection is reset.
 
 use crate::net::messages::{AttemptResult, MAX_BODY_BYTES};
-use crate::net::runtime::memory::{MemoryBudget, OutOfMemory, ReservedBytes};
+use crate::net::runtime::capacity::{MemoryShares, MAX_UNRESERVED_BYTES};
+use crate::net::runtime::memory::{MemoryBudget, OutOfMemory, Reservation, ReservedBytes};
 use cometspool::settings::{self, Metric, ParsedSettings};
 use cometspool::{LoadReport, Outcome};
 use http_body_util::BodyExt;
@@ -17,9 +18,6 @@
 /// 64 KiB, and their responses are still worth forwarding. A response with a longer body counts as
 /// no response.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
-/// All long responses together may take the gateway's memory divided by this number. A response
-/// counts from its first byte read from the backend to its last byte written to the client.
-const MEMORY_DIVISOR: usize = 4;
 /// The highest reported quota usage that is accepted, in percent; a higher value is ignored.
 const MAX_USAGE_PERCENT: f64 = 100_000.0;
 
@@ -63,20 +61,51 @@
     metrics: Vec<Metric>,
     /// The highest number of units that a request may be charged by the settings.
     max_units: f64,
-    budget: MemoryBudget,
+    memory: ResponseMemory,
+}
+
+/// The memory of responses, from before they are read until they are written to their clients.
+struct ResponseMemory {
+    /// For responses up to [`MAX_BODY_BYTES`].
+    agreed: MemoryBudget,
+    /// For longer ones.
+    long: MemoryBudget,
+}
+
+impl ResponseMemory {
+    /// Reserves memory for a response of `length` bytes that is longer than [`MAX_UNRESERVED_BYTES`].
+    ///
+    /// A response up to [`MAX_BODY_BYTES`] waits for memory and holds none meanwhile. A longer one fails if there is not
+    /// enough now, so that responses that do not end hold up no other.
+    async fn reserve(&self, length: usize) -> Result<Reservation, OutOfMemory> {
+        if length <= MAX_BODY_BYTES {
+            self.agreed.reserve(length).await
+        } else {
+            self.long.try_reserve(length)
+        }
+    }
 }
 
 impl ResponseReader {
     /// Creates a reader with these settings for a gateway whose memory limit is `memory_bytes`.
     pub(crate) fn new(settings: &ParsedSettings, memory_bytes: usize) -> ResponseReader {
+        let shares = MemoryShares::of(memory_bytes);
         ResponseReader {
             metric_names: settings.names.metrics.clone(),
             metrics: settings.report_metrics.clone(),
             max_units: settings.settings.max_units,
-            budget: MemoryBudget::new(memory_bytes / MEMORY_DIVISOR),
+            memory: ResponseMemory {
+                agreed: MemoryBudget::new(shares.responses),
+                long: MemoryBudget::new(shares.long_responses),
+            },
         }
     }
 
+    /// The memory of long responses, from which that of their heads is reserved as well.
+    pub(crate) fn long_response_budget(&self) -> MemoryBudget {
+        self.memory.long.clone()
+    }
+
     /// Reads a response to its end.
     ///
     /// # Errors
@@ -94,29 +123,30 @@
         let headers = &head.headers;
         let is_delimited =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        let body = read_body(&self.budget, body).await?;
+        let mut result = self.interpret(head.status, headers);
+        // The headers refer to the read buffer, which must not be held while the body is read.
+        drop(head);
+        let body = read_body(&self.memory, body).await?;
+        // The body is kept only if the response is successful.
+        if result.outcome == Outcome::Ok {
+            result.body = body;
+        }
         Ok(ReceivedResponse {
-            result: self.interpret(head.status, headers, body),
+            result,
             is_delimited,
         })
     }
 
-    /// Interprets the status and the headers of a complete response. The body is kept only if the
-    /// response is successful.
-    fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: Bytes) -> AttemptResult {
+    /// Interprets the status and the headers of a response.
+    fn interpret(&self, status: StatusCode, headers: &HeaderMap) -> AttemptResult {
         let outcome = outcome_of(status, headers);
-        let body = if outcome == Outcome::Ok {
-            body
-        } else {
-            Bytes::new()
-        };
         let usage_percent = first_number(headers, &API_USAGE, MAX_USAGE_PERCENT);
         let load_report = header_text(headers, &SERVER_LOAD)
             .map(|text| self.parse_load_report(text))
             .unwrap_or_default();
         AttemptResult {
             outcome,
-            body,
+            body: Bytes::new(),
             quota_usage: usage_percent.map(|percent| percent / 100.0),
             actual_units: first_number(headers, &API_CHARGE, self.max_units),
             load_report,
@@ -141,40 +171,90 @@
     }
 }
 
-/// Reads a body to its end, within the limit for one response and the budget for all long responses.
+/// Reads a body to its end, within the limit for one response and the memory of all responses.
 ///
 /// The body is copied piece by piece: each piece that the HTTP library returns refers to the whole read buffer that it
 /// arrived in, so that the pieces of a body that arrives slowly would hold far more memory than the body.
-async fn read_body(budget: &MemoryBudget, mut body: Incoming) -> Result<Bytes, ResponseError> {
+async fn read_body(memory: &ResponseMemory, mut body: Incoming) -> Result<Bytes, ResponseError> {
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > MAX_RESPONSE_BYTES as u64) {
         return Err(ResponseError::TooLong);
     }
-    let known_length = length.unwrap_or(0) as usize;
-    let mut reservation = budget.empty_reservation();
-    if known_length > MAX_BODY_BYTES {
-        // If the length is known, all memory is reserved up front, so that reading cannot fail half-way
-        // for lack of memory.
-        reservation.grow_to(known_length)?;
-    }
-    let mut received = Vec::with_capacity(known_length);
+    let mut received = ReservedBuffer::default();
+    // If the length is known, all memory is reserved up front, so that reading cannot fail half-way for lack of memory.
+    received
+        .grow_to(memory, length.unwrap_or(0) as usize)
+        .await?;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        let grown = received.len() + data.len();
-        if grown > MAX_RESPONSE_BYTES {
+        received.append(memory, &data).await?;
+    }
+    Ok(received.into_bytes())
+}
+
+/// A body that is being read, with the memory that is reserved for its whole capacity.
+#[derive(Default)]
+struct ReservedBuffer {
+    bytes: Vec<u8>,
+    /// `None` while the capacity is at most [`MAX_UNRESERVED_BYTES`].
+    reservation: Option<Reservation>,
+}
+
+impl ReservedBuffer {
+    /// Appends a piece of the body. Memory is reserved before the buffer grows.
+    async fn append(&mut self, memory: &ResponseMemory, data: &[u8]) -> Result<(), ResponseError> {
+        let length = self.bytes.len() + data.len();
+        if length > MAX_RESPONSE_BYTES {
             return Err(ResponseError::TooLong);
         }
-        if length.is_none() && grown > MAX_BODY_BYTES {
-            reservation.grow_to(grown.next_power_of_two())?;
+        if length > self.bytes.capacity() {
+            self.grow_to(memory, next_capacity(length)).await?;
         }
-        received.extend_from_slice(&data);
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Grows the capacity. The old and the new buffer are reserved together until the old one has been copied.
+    async fn grow_to(
+        &mut self,
+        memory: &ResponseMemory,
+        capacity: usize,
+    ) -> Result<(), OutOfMemory> {
+        let reservation = if capacity > MAX_UNRESERVED_BYTES {
+            Some(memory.reserve(capacity).await?)
+        } else {
+            None
+        };
+        let mut grown = Vec::with_capacity(capacity);
+        grown.append(&mut self.bytes);
+        self.bytes = grown;
+        self.reservation = reservation;
+        Ok(())
     }
-    if reservation.bytes() == 0 {
-        return Ok(Bytes::from(received));
+
+    /// The body with the memory that it takes; the rest is returned.
+    fn into_bytes(mut self) -> Bytes {
+        self.bytes.shrink_to_fit();
+        let Some(mut reservation) = self.reservation else {
+            return Bytes::from(self.bytes);
+        };
+        reservation.shrink_to(self.bytes.len());
+        Bytes::from_owner(ReservedBytes::new(self.bytes, reservation))
+    }
+}
+
+/// The capacity of the buffer for a body of unknown length of which `length` bytes have arrived. A body up to
+/// [`MAX_BODY_BYTES`] gets all of that at once: it waits for memory only while it holds none.
+fn next_capacity(length: usize) -> usize {
+    if length <= MAX_UNRESERVED_BYTES {
+        MAX_UNRESERVED_BYTES
+    } else if length <= MAX_BODY_BYTES {
+        MAX_BODY_BYTES
+    } else {
+        length.next_power_of_two()
     }
-    Ok(Bytes::from_owner(ReservedBytes::new(received, reservation)))
 }
 
 /// Derives the outcome from the status: 200 is a success, and 503 or 504 with `not-started: 1` means
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -1,11 +1,12 @@
-//! The memory that clients make the gateway hold, over loopback sockets. Hundreds of clients send as much as they may;
-//! the gateway stays under its memory limit, and clients that send sound requests get their responses.
+//! The memory that clients and backends make the gateway hold, over loopback sockets. Hundreds of clients send as much as
+//! they may, or backends send responses that do not end; the gateway stays under its memory limit, and clients that send
+//! sound requests get their responses.
 
 use cometspool_fault_injection::scripted_peers::*;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// Memory limit of the gateway, in MiB.
@@ -51,11 +52,16 @@
                 host
             })
             .collect();
+        SmallGateway::with_hosts(memory_mb, discovery, &hosts)
+    }
+
+    /// Starts the gateway with a memory limit of `memory_mb` and these backends.
+    fn with_hosts(memory_mb: usize, discovery: TestListener, hosts: &[Value]) -> SmallGateway {
         let program = GatewayProcess::start_with_limits(
             json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTOR_LIMIT}),
             default_settings(),
             discovery.address(),
-            endpoint_list(1, true, &hosts),
+            endpoint_list(1, true, hosts),
         );
         SmallGateway {
             program,
@@ -357,3 +363,91 @@
         }
     });
 }
+
+/// Clients that send long requests, each one at a time.
+const LONG_REQUEST_CLIENTS: usize = 96;
+/// How long they go on.
+const ENDLESS_TIME: Duration = Duration::from_secs(8);
+/// Length of the bodies of these requests and of sound responses, in bytes.
+const LONG_BODY: usize = 60_000;
+/// One response in so many does not end.
+const ENDLESS_EVERY: usize = 8;
+/// Length of the chunks of a response that does not end, in bytes.
+const ENDLESS_CHUNK: usize = 32 * 1024;
+/// Pauses between these chunks, taken in turn, in milliseconds.
+const ENDLESS_PAUSES: [u64; 6] = [10, 30, 60, 80, 100, 150];
+/// How long a backend takes for a sound response.
+const SERVICE_TIME: Duration = Duration::from_millis(120);
+
+/// Answers requests on all connections to a backend with long responses; one in [`ENDLESS_EVERY`] does not end.
+fn run_endless_backend(backend: &TestListener) {
+    let requests = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for stream in backend.socket.incoming().flatten() {
+            scope.spawn(|| {
+                let mut connection = ScriptedConnection::new(stream);
+                let body = "b".repeat(LONG_BODY);
+                while connection
+                    .reader
+                    .fill_buf()
+                    .is_ok_and(|bytes| !bytes.is_empty())
+                {
+                    connection.read();
+                    let number = requests.fetch_add(1, Ordering::Relaxed);
+                    if number.is_multiple_of(ENDLESS_EVERY) {
+                        return write_endless_response(connection.reader.get_mut(), number);
+                    }
+                    std::thread::sleep(SERVICE_TIME);
+                    connection.respond(200, "", &body);
+                }
+            });
+        }
+    });
+}
+
+/// Writes chunks until the gateway closes the connection.
+fn write_endless_response(stream: &mut TcpStream, number: usize) {
+    let pause = ENDLESS_PAUSES[number / ENDLESS_EVERY % ENDLESS_PAUSES.len()];
+    let chunk = format!("{ENDLESS_CHUNK:x}\r\n{}\r\n", ".".repeat(ENDLESS_CHUNK));
+    let mut written = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    while written.is_ok() {
+        written = stream.write_all(chunk.as_bytes());
+        std::thread::sleep(Duration::from_millis(pause));
+    }
+}
+
+/// Sends long requests one after another for [`ENDLESS_TIME`], and returns how many were served.
+fn long_request_client(gateway: &SmallGateway, number: usize) -> usize {
+    let started_at = Instant::now();
+    let mut served = 0;
+    for round in 0.. {
+        if started_at.elapsed() > ENDLESS_TIME {
+            break;
+        }
+        let id = format!("id-{number}-{round}");
+        served += usize::from(gateway.status_of(&long_request(&id, 0, LONG_BODY)) == Some(200));
+    }
+    served
+}
+
+/// Guards against responses that are read without a reservation, and against the buffers that connections to backends
+/// keep: one response in eight goes on without an end, beside long requests and long sound responses.
+#[test]
+fn responses_that_do_not_end_stay_within_the_memory_limit() {
+    let hosts: Vec<Value> = (0..8)
+        .map(|number| {
+            let backend = TestListener::new();
+            let host = endpoint(&format!("s-{number}"), backend.address(), "up");
+            std::thread::spawn(move || run_endless_backend(&backend));
+            host
+        })
+        .collect();
+    let gateway = SmallGateway::with_hosts(MEMORY_MB, TestListener::new(), &hosts);
+    gateway.assert_within_memory_limit(|| {
+        let served = run_many_clients(LONG_REQUEST_CLIENTS, |number| {
+            long_request_client(&gateway, number)
+        });
+        let total: usize = served.iter().sum();
+        assert!(total > LONG_REQUEST_CLIENTS, "{total} requests were served");
+    });
+}
--- a/tests/complete_responses.rs
+++ b/tests/complete_responses.rs
@@ -276,7 +276,7 @@
         .enumerate()
         .map(|(i, backend)| endpoint(&format!("s-{i}"), backend.address(), "up"))
         .collect();
-    // 32 MB leave 8 MB for long responses.
+    // 32 MB leave 2.7 MB for responses beyond 64 KiB.
     let program = GatewayProcess::start_with_memory_limit(
         32,
         default_settings(),
