Bound the customers that a gateway remembers by its memory

What callers saw: requests under ever new customer names made a gateway grow without end; with a limit of 32 MB the platform kills it.

Cause: nothing bounded CustomerQuotas::customers between two scans, and a scan frees no entry younger than eight halflives; about 350 bytes each.

Change: customer_limit is the memory that nothing else of the process can take. At the limit a new customer takes the place of the one that requested longest ago, within 16 steps; customers over their quota or with attempts in flight are passed over. What an evicted customer's bucket lacked is kept in a table of fixed size. A scan for expired entries looks at 256 entries a request at most.

Why it works: the bound is kept before an entry is made, at a constant cost; names that come once displace each other, and an evicted customer that returns has the bucket that it would have had.

--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -146,6 +146,11 @@
     ) -> Result<Rc<Driver>, DriverError> {
         let settings = &config.parsed;
         let context = Rc::new(RuntimeContext::new(settings, wake_recorder, clock));
+        let mut policy = PolicyEngine::new(settings.settings.clone(), config.seed);
+        policy.limit_customers(capacity::customer_limit(
+            config.descriptor_budget(),
+            config.limits.memory_bytes(),
+        ));
         let handover = match &config.handover {
             Some(path) => Some(open_handover(path, &context)?),
             None => None,
@@ -156,7 +161,7 @@
             weak_self: weak_self.clone(),
             connections,
             executor,
-            policy: RefCell::new(PolicyEngine::new(settings.settings.clone(), config.seed)),
+            policy: RefCell::new(policy),
             requests: RefCell::default(),
             endpoints: RefCell::new(endpoints),
             timers: RefCell::default(),
--- a/src/net/runtime/capacity.rs
+++ b/src/net/runtime/capacity.rs
@@ -28,6 +28,15 @@
 /// a short response, and the state of the connection and of its attempt.
 const UPSTREAM_CONNECTION_BYTES: usize = 16 * 1024;
 
+/// Memory that one customer takes that the policy remembers, in bytes: its entry, its place in the index, and what is
+/// kept of one that was evicted.
+const CUSTOMER_BYTES: usize = 256;
+
+/// Divisor of the memory limit that gives what is left to the allocator.
+const ALLOCATOR_DIVISOR: usize = 20;
+/// Minimum number of customers under a small memory limit.
+const MIN_CUSTOMERS: usize = 1024;
+
 /// Share of client connections, in thousandths of the divided memory.
 const CLIENT_CONNECTION_PERMILLE: usize = 320;
 /// Divisor of the memory limit that gives the share of backend connections.
@@ -75,7 +84,6 @@
     }
 
     /// The sum of the shares.
-    #[cfg(test)]
     fn total(&self) -> usize {
         self.read_buffers + self.request_bodies + self.responses + self.long_responses
     }
@@ -110,5 +118,21 @@
     available.min(within_memory.max(MIN_CLIENT_CONNECTIONS))
 }
 
+/// Maximum number of customers that the policy of a process with `descriptors` file descriptors and `memory` bytes of
+/// memory remembers: the memory that nothing else can take.
+pub(crate) fn customer_limit(descriptors: usize, memory: usize) -> usize {
+    let available = memory - memory / ALLOCATOR_DIVISOR;
+    let free = available.saturating_sub(most_without_customers(descriptors, memory));
+    (free / CUSTOMER_BYTES).max(MIN_CUSTOMERS)
+}
+
+/// The most memory that a process with `descriptors` file descriptors and `memory` bytes of memory takes, apart from the
+/// customers that the policy remembers.
+fn most_without_customers(descriptors: usize, memory: usize) -> usize {
+    let clients = client_connection_limit(descriptors, memory) * CLIENT_CONNECTION_BYTES;
+    let backends = upstream_connection_limit(descriptors, memory) * UPSTREAM_CONNECTION_BYTES;
+    PROCESS_BYTES + clients + backends + MemoryShares::of(memory).total()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/runtime/capacity/tests.rs
+++ b/src/net/runtime/capacity/tests.rs
@@ -21,16 +21,19 @@
     for megabytes in 32..=4096 {
         let memory = megabytes << 20;
         for descriptors in [256, 768, 1024, 4096, 65_536] {
-            let clients = client_connection_limit(descriptors, memory) * CLIENT_CONNECTION_BYTES;
-            let backends =
-                upstream_connection_limit(descriptors, memory) * UPSTREAM_CONNECTION_BYTES;
-            let total = PROCESS_BYTES + clients + backends + MemoryShares::of(memory).total();
+            let total = most_without_customers(descriptors, memory);
             assert!(
                 total < memory * 9 / 10,
                 "{total} of {memory} bytes with {descriptors} descriptors"
             );
+            let customers = customer_limit(descriptors, memory) * CUSTOMER_BYTES;
+            assert!(
+                total + customers < memory,
+                "{total} and {customers} of {memory} bytes with {descriptors} descriptors"
+            );
         }
     }
+    assert!(customer_limit(1024, 64 << 20) >= 50_000);
     let smallest = MemoryShares::of(1 << 20);
     assert!(smallest.read_buffers >= LARGE_READ_BUFFER_BYTES);
     assert!(smallest.request_bodies >= 64 * 1024 && smallest.responses >= 64 * 1024);
--- a/src/policy/concurrency.rs
+++ b/src/policy/concurrency.rs
@@ -19,6 +19,16 @@
 }
 
 impl CeilingShare {
+    /// A share that holds `units`.
+    pub(super) fn with_units(units: f64) -> CeilingShare {
+        CeilingShare { units }
+    }
+
+    /// Units that may still be forwarded.
+    pub(super) fn units(&self) -> f64 {
+        self.units
+    }
+
     /// Adds the units that accrue in `seconds` to the bucket.
     pub(super) fn refill(&mut self, plan: &Plan, gateway_count: f64, seconds: f64) {
         let Some(ceiling) = plan.ceiling else { return };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,7 +5,8 @@
 //! - Admission: [`quota`] decides whether a request is within its customer's quota. It uses this gateway's share of the
 //!   quota ([`local_quota`]), the evidence of the customer's usage ([`usage`]), the penalty box ([`rate_limit`]) and
 //!   the gateway's shares of the hard ceiling and the concurrency limit ([`concurrency`]). The admission window
-//!   ([`overload`]) scales down what is admitted when the backends are short of capacity.
+//!   ([`overload`]) scales down what is admitted when the backends are short of capacity. How many customers are
+//!   remembered is bounded ([`customer_table`], [`evicted_customers`]).
 //! - Backend selection: [`load_balancing`] selects one of the [`backends`] by expected cost. [`demand`] and
 //!   [`slow_start`] limit what a warming backend gets, and [`outlier_detection`] ejects failing ones.
 //! - Attempts: [`attempts`] sends, hedges, retries and ends the attempts of the [`pending`] requests, within the limits
@@ -14,7 +15,9 @@
 mod attempts;
 mod backends;
 mod concurrency;
+mod customer_table;
 mod demand;
+mod evicted_customers;
 mod load_balancing;
 mod local_quota;
 mod outlier_detection;
@@ -64,6 +67,17 @@
         }
     }
 
+    /// Whether the customer asks for more than its quota or its shares of other limits allow.
+    fn shows_overuse(&self) -> bool {
+        matches!(
+            self.reason,
+            RejectReason::PenaltyBox
+                | RejectReason::TokenBucket
+                | RejectReason::Ceiling
+                | RejectReason::ConcurrencyLimit
+        )
+    }
+
     /// A rejection whose reason applies for `retry_after`, in ms.
     fn with_retry_after(reason: RejectReason, retry_after: Millis) -> Rejection {
         Rejection {
@@ -155,6 +169,12 @@
         actions.append(&mut self.load_balancer.preconnects);
     }
 
+    /// Sets the number of customers that the gateway remembers at most. Those that requested longest ago are evicted for
+    /// others, except while they are over their quota or have attempts in flight.
+    pub fn limit_customers(&mut self, limit: usize) {
+        self.quotas.set_limit(limit);
+    }
+
     /// Number of customers for which the gateway stores an entry.
     pub fn tracked_customers(&self) -> usize {
         self.quotas.len()
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -5,12 +5,13 @@
 //! design of the recent average rate limiter.
 
 use super::concurrency::{CeilingShare, ConcurrencyShare};
+use super::customer_table::CustomerTable;
+use super::evicted_customers::{EvictedCustomer, EvictedCustomers};
 use super::local_quota::{LocalQuota, ObservedTraffic};
 use super::overload::AdmissionSignals;
 use super::usage::{UsageHistory, MIN_DIVISOR};
 use super::{rate_limit, PolicyContext, Rejection};
 use crate::policy_api::*;
-use std::collections::BTreeMap;
 use std::f64::consts::LN_2;
 use std::sync::Arc;
 
@@ -26,6 +27,12 @@
 const EVICTION_SCANS: f64 = 4.0;
 /// Minimum halflife that the eviction time is computed from, ms.
 const MIN_EVICTION_HALFLIFE: Millis = 1000.0;
+/// Most entries that one request looks at in a scan.
+const MAX_SCAN_STEPS: usize = 256;
+/// Most customers for which an entry is stored unless the driver sets another limit.
+const DEFAULT_CUSTOMER_LIMIT: usize = 65_536;
+/// Most entries that one request looks at to make room for its customer.
+const MAX_ROOM_STEPS: usize = 16;
 /// Recent average, in units, below which a customer's entry holds no more information than a new one.
 const NEGLIGIBLE_UNITS: f64 = 0.01;
 /// Number of requests over which the mean size of a request is averaged.
@@ -41,6 +48,8 @@
     units: f64,
     /// Refill rate, units a second.
     refill_rate: f64,
+    /// Most units that the bucket held at the last request.
+    depth: f64,
 }
 
 impl TokenBucket {
@@ -55,6 +64,7 @@
         let raised_rate = self.refill_rate + (target - self.refill_rate).max(0.0) * rise_fraction;
         self.refill_rate = target.min(raised_rate).max(local.equal_share_rate);
         self.units = (self.units + self.refill_rate * seconds).min(local.depth);
+        self.depth = local.depth;
     }
 
     /// Rejects a request for which the bucket holds too few units. Under pressure the bucket keeps a reserve, so that
@@ -84,6 +94,8 @@
     concurrency: ConcurrencyShare,
     /// Fraction of the customer's requests that this gateway admits at present.
     admit_fraction: f64,
+    /// Whether the customer was over its quota, or over its share of a limit, at its last request.
+    is_over_quota: bool,
 }
 
 impl Customer {
@@ -94,14 +106,85 @@
             bucket: TokenBucket {
                 units: local.depth,
                 refill_rate: local.equal_share_rate,
+                depth: local.depth,
             },
             ceiling: CeilingShare::default(),
             refilled_at: now - signals.uptime,
             concurrency: ConcurrencyShare::new(now),
             admit_fraction: 1.0,
+            is_over_quota: false,
         }
     }
 
+    /// A customer that comes again after its eviction. Its bucket lacks what it lacked then.
+    fn restored(
+        now: Millis,
+        local: &LocalQuota,
+        signals: &AdmissionSignals,
+        evicted: &EvictedCustomer,
+    ) -> Customer {
+        let mut customer = Customer::new(now, local, signals);
+        customer.bucket.units -= f64::from(evicted.missing_units);
+        customer.ceiling = CeilingShare::with_units(f64::from(evicted.ceiling_units));
+        customer.refilled_at = evicted.refilled_at;
+        customer
+    }
+
+    /// What is kept of the customer when its entry is evicted. The bucket's depth is that of its last request.
+    fn evicted(&self) -> EvictedCustomer {
+        EvictedCustomer {
+            missing_units: (self.bucket.depth - self.bucket.units).max(0.0) as f32,
+            ceiling_units: self.ceiling.units() as f32,
+            refilled_at: self.refilled_at,
+        }
+    }
+
+    /// Records the arrival of a request, and rejects it if it is not within the quota.
+    fn admit(
+        &mut self,
+        now: Millis,
+        context: &PolicyContext,
+        local: &LocalQuota,
+        request: &Request,
+        signals: &AdmissionSignals,
+    ) -> Result<(), Rejection> {
+        let plan = context.plan(request.plan);
+        self.largest_request = self.largest_request.max(request.units);
+        let usage_ratio = self.usage.usage_ratio(now, plan, local, signals);
+        self.refill(now, plan, local, signals.pressure, usage_ratio > 1.0);
+        self.usage
+            .average
+            .record(now, request.units, local.decay_rate);
+        let result = self
+            .check_quota(now, plan, local, request, signals, usage_ratio)
+            .and_then(|()| {
+                self.check_shares(now, plan, local, request.units, context.latency_objective)
+            });
+        let is_limited = result.as_ref().is_err_and(Rejection::shows_overuse);
+        self.is_over_quota = usage_ratio > 1.0 || is_limited;
+        result
+    }
+
+    /// Rejects a request that the penalty box, the shedding of load or the token bucket does not admit.
+    fn check_quota(
+        &mut self,
+        now: Millis,
+        plan: &Plan,
+        local: &LocalQuota,
+        request: &Request,
+        signals: &AdmissionSignals,
+        usage_ratio: f64,
+    ) -> Result<(), Rejection> {
+        if plan.rate <= 0.0 {
+            return Ok(());
+        }
+        let limit = local.penalty_box_limit;
+        rate_limit::check_penalty_box(now, &self.usage.average, local.decay_rate, limit)?;
+        self.shed_load(now, plan, local, request, signals, usage_ratio)?;
+        self.bucket
+            .check(request.units, signals.pressure, local.depth)
+    }
+
     /// Refills the token bucket and the ceiling share up to `now`. The bucket's refill rate follows local demand, up to
     /// the rate of the whole quota; pressure lowers it. It is the equal share once the customer is over its quota.
     fn refill(
@@ -194,9 +277,14 @@
 /// The quota state of all customers at one gateway.
 pub(super) struct CustomerQuotas {
     context: Arc<PolicyContext>,
-    customers: BTreeMap<CustomerId, Customer>,
+    customers: CustomerTable<Customer>,
+    evicted: EvictedCustomers,
+    /// Most customers for which an entry is stored; more only while attempts of as many are in flight.
+    limit: usize,
     /// Time of the next scan for customers to evict, ms.
     evict_at: Millis,
+    /// Number of entries that the present scan has still to look at.
+    scan_remaining: usize,
     /// Mean units of a request, over all customers.
     pub mean_request_units: f64,
     /// When the usage meter last reported on any customer, ms.
@@ -207,13 +295,22 @@
     pub(super) fn new(context: Arc<PolicyContext>) -> CustomerQuotas {
         CustomerQuotas {
             context,
-            customers: BTreeMap::new(),
+            customers: CustomerTable::new(),
+            evicted: EvictedCustomers::new(DEFAULT_CUSTOMER_LIMIT),
+            limit: DEFAULT_CUSTOMER_LIMIT,
             evict_at: 0.0,
+            scan_remaining: 0,
             mean_request_units: INITIAL_MEAN_UNITS,
             meter_reported_at: f64::NEG_INFINITY,
         }
     }
 
+    /// Sets the number of customers for which an entry is stored at most.
+    pub(super) fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+        self.evicted = EvictedCustomers::new(limit);
+    }
+
     /// Number of customers for which the gateway stores an entry.
     pub(super) fn len(&self) -> usize {
         self.customers.len()
@@ -229,33 +326,58 @@
     ) -> Result<(), Rejection> {
         let local = self.local_quota(request);
         self.mean_request_units += (request.units - self.mean_request_units) / MEAN_UNITS_MEMORY;
-        let plan = self.context.plan(request.plan);
-        let customer = self
-            .customers
-            .entry(request.customer)
-            .or_insert_with(|| Customer::new(now, &local, signals));
-        customer.largest_request = customer.largest_request.max(request.units);
-        let usage_ratio = customer.usage.usage_ratio(now, plan, &local, signals);
-        customer.refill(now, plan, &local, signals.pressure, usage_ratio > 1.0);
-        let average = &mut customer.usage.average;
-        average.record(now, request.units, local.decay_rate);
-        if plan.rate > 0.0 {
-            let limit = local.penalty_box_limit;
-            rate_limit::check_penalty_box(now, average, local.decay_rate, limit)?;
-            customer.shed_load(now, plan, &local, request, signals, usage_ratio)?;
-            customer
-                .bucket
-                .check(request.units, signals.pressure, local.depth)?;
+        let context = self.context.clone();
+        let customer = self.known_customer(now, request.customer, &local, signals);
+        customer.admit(now, &context, &local, request, signals)
+    }
+
+    /// The entry of a customer from which a request arrives, made if there is none.
+    fn known_customer(
+        &mut self,
+        now: Millis,
+        id: CustomerId,
+        local: &LocalQuota,
+        signals: &AdmissionSignals,
+    ) -> &mut Customer {
+        if self.customers.touch(id).is_none() {
+            self.make_room(now);
+            let entry = match self.evicted.take(id) {
+                Some(evicted) => Customer::restored(now, local, signals, &evicted),
+                None => Customer::new(now, local, signals),
+            };
+            self.customers.insert(id, entry);
+        }
+        self.customers
+            .newest_mut()
+            .expect("the customer's entry is the newest")
+    }
+
+    /// Evicts customers until there is room for another. Those that are over their quota and those with attempts in
+    /// flight are passed over, as far as a bounded number of steps allows.
+    fn make_room(&mut self, now: Millis) {
+        for step in 1..=MAX_ROOM_STEPS {
+            let Some((id, customer)) = self.customers.oldest() else {
+                return;
+            };
+            if self.customers.len() < self.limit {
+                return;
+            }
+            let has_expired = now - customer.refilled_at >= self.max_age();
+            let is_kept = customer.is_over_quota && !has_expired && step < MAX_ROOM_STEPS;
+            if customer.concurrency.in_flight > 0 || is_kept {
+                self.customers.keep_oldest();
+            } else {
+                self.evicted.record(id, customer.evicted());
+                self.customers.remove_oldest();
+            }
         }
-        let latency_objective = self.context.latency_objective;
-        customer.check_shares(now, plan, &local, request.units, latency_objective)
     }
 
     /// Charges the units of an admitted request, once its backend is selected.
     pub(super) fn consume(&mut self, now: Millis, request: &Request) {
         let plan = self.context.plan(request.plan);
         let decay_rate = rate_limit::decay_rate(&self.context.settings, plan);
-        if let Some(customer) = self.customers.get_mut(&request.customer) {
+        if let Some(customer) = self.customers.get_mut(request.customer) {
             let units = request.units;
             customer.usage.record_admitted(now, units, decay_rate);
             customer.bucket.units -= units;
@@ -265,7 +387,7 @@
 
     /// Counts an attempt of a customer that is sent.
     pub(super) fn attempt_sent(&mut self, id: CustomerId) {
-        if let Some(customer) = self.customers.get_mut(&id) {
+        if let Some(customer) = self.customers.get_mut(id) {
             customer.concurrency.in_flight += 1;
         }
     }
@@ -279,7 +401,7 @@
     ) {
         let local = self.local_quota(request);
         let plan = self.context.plan(request.plan);
-        let Some(customer) = self.customers.get_mut(&request.customer) else {
+        let Some(customer) = self.customers.get_mut(request.customer) else {
             return;
         };
         let concurrency = &mut customer.concurrency;
@@ -312,7 +434,7 @@
     fn local_quota(&self, request: &Request) -> LocalQuota {
         let largest_request = self
             .customers
-            .get(&request.customer)
+            .get(request.customer)
             .map_or(0.0, |customer| customer.largest_request)
             .max(request.units);
         let traffic = ObservedTraffic {
@@ -323,24 +445,46 @@
         LocalQuota::new(&self.context, request, &traffic)
     }
 
-    /// Evicts customers whose entries hold no more information than new ones.
+    /// Evicts customers whose entries hold no more information than new ones, in scans of a bounded number of entries a
+    /// call.
     pub(super) fn evict_expired(&mut self, now: Millis) {
-        if now < self.evict_at {
-            return;
+        if now >= self.evict_at {
+            self.evict_at = now + self.max_age() / EVICTION_SCANS;
+            self.scan_remaining = self.customers.len();
         }
+        let decay_rate = LN_2 / self.longest_halflife();
+        for _ in 0..self.scan_remaining.min(MAX_SCAN_STEPS) {
+            let Some((_, customer)) = self.customers.oldest() else {
+                break;
+            };
+            // Entries behind this one were used later.
+            if now - customer.refilled_at < self.max_age() {
+                self.scan_remaining = 0;
+                return;
+            }
+            self.scan_remaining -= 1;
+            let is_in_use = customer.concurrency.in_flight > 0
+                || customer.usage.average.decayed(now, decay_rate) > NEGLIGIBLE_UNITS;
+            if is_in_use {
+                self.customers.keep_oldest();
+            } else {
+                self.customers.remove_oldest();
+            }
+        }
+    }
+
+    /// Time without requests after which a customer may be evicted, ms.
+    fn max_age(&self) -> Millis {
+        EVICTION_HALFLIVES * self.longest_halflife()
+    }
+
+    /// The longest halflife of the recent average of all plans, ms.
+    fn longest_halflife(&self) -> Millis {
         let plans = &self.context.settings.plans;
-        let longest_halflife = plans
+        plans
             .iter()
             .filter(|plan| plan.rate > 0.0)
             .map(rate_limit::halflife)
-            .fold(MIN_EVICTION_HALFLIFE, f64::max);
-        let max_age = EVICTION_HALFLIVES * longest_halflife;
-        self.evict_at = now + max_age / EVICTION_SCANS;
-        let decay_rate = LN_2 / longest_halflife;
-        self.customers.retain(|_, customer| {
-            customer.concurrency.in_flight > 0
-                || now - customer.refilled_at < max_age
-                || customer.usage.average.decayed(now, decay_rate) > NEGLIGIBLE_UNITS
-        });
+            .fold(MIN_EVICTION_HALFLIFE, f64::max)
     }
 }
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -451,3 +451,37 @@
         assert!(total > LONG_REQUEST_CLIENTS, "{total} requests were served");
     });
 }
+
+/// Clients that send requests under ever new names.
+const NAMING_CLIENTS: usize = 60;
+/// Requests that such a client sends at once.
+const PIPELINE_DEPTH: usize = 8;
+/// How often it does.
+const PIPELINES: usize = 280;
+
+/// Guards against memory that grows with the customers: each of many requests comes from another one.
+#[test]
+fn customers_under_new_names_stay_within_the_memory_limit() {
+    let gateway = SmallGateway::start(Some("ok"));
+    gateway.assert_within_memory_limit(|| {
+        run_many_clients(NAMING_CLIENTS, |number| {
+            let mut client = gateway.program.connect_client();
+            for round in 0..PIPELINES {
+                for position in 0..PIPELINE_DEPTH {
+                    let customer = (round * NAMING_CLIENTS + number) * PIPELINE_DEPTH + position;
+                    client.write(request_of_customer(customer));
+                }
+                for _ in 0..PIPELINE_DEPTH {
+                    client.read();
+                }
+            }
+        });
+    });
+}
+
+/// A short request of the customer with this number, which is also its id.
+fn request_of_customer(number: usize) -> String {
+    let id = format!("customer-{number}");
+    let request = request_with(&id, "read", "wide", LONG_TIMEOUT);
+    request.replace("client=00000000b4d65521", &format!("client={number:016x}"))
+}
