Test several kinds of bad peers at once and new processes at old addresses

Need: operators of other deployments report gateways killed for memory while clients write slowly, stop half way or send heads of very many fields, and work that went to the former process at an address. Nothing held these pictures together.

Change: a test plays 130 clients of each kind beside responses that do not end; two tests let a new process (another backend, and the same one with a later start) take over the address of one whose pooled connection is still open.

--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -416,6 +416,19 @@
     }
 }
 
+/// A gateway with eight backends, of whose responses one in [`ENDLESS_EVERY`] does not end.
+fn gateway_with_endless_backends() -> SmallGateway {
+    let hosts: Vec<Value> = (0..8)
+        .map(|number| {
+            let backend = TestListener::new();
+            let host = endpoint(&format!("s-{number}"), backend.address(), "up");
+            std::thread::spawn(move || run_endless_backend(&backend));
+            host
+        })
+        .collect();
+    SmallGateway::with_hosts(MEMORY_MB, TestListener::new(), &hosts)
+}
+
 /// Sends long requests one after another for [`ENDLESS_TIME`], and returns how many were served.
 fn long_request_client(gateway: &SmallGateway, number: usize) -> usize {
     let started_at = Instant::now();
@@ -434,15 +447,7 @@
 /// keep: one response in eight goes on without an end, beside long requests and long sound responses.
 #[test]
 fn responses_that_do_not_end_stay_within_the_memory_limit() {
-    let hosts: Vec<Value> = (0..8)
-        .map(|number| {
-            let backend = TestListener::new();
-            let host = endpoint(&format!("s-{number}"), backend.address(), "up");
-            std::thread::spawn(move || run_endless_backend(&backend));
-            host
-        })
-        .collect();
-    let gateway = SmallGateway::with_hosts(MEMORY_MB, TestListener::new(), &hosts);
+    let gateway = gateway_with_endless_backends();
     gateway.assert_within_memory_limit(|| {
         let served = run_many_clients(LONG_REQUEST_CLIENTS, |number| {
             long_request_client(&gateway, number)
@@ -485,3 +490,77 @@
     let request = request_with(&id, "read", "wide", LONG_TIMEOUT);
     request.replace("client=00000000b4d65521", &format!("client={number:016x}"))
 }
+
+/// Clients of each bad kind that come at once with the others.
+const CLIENTS_OF_A_KIND: usize = 130;
+/// Length of the pieces in which a slow client writes, in bytes, and the pause between two.
+const SLOW_PIECE: usize = 500;
+const SLOW_PAUSE: Duration = Duration::from_millis(20);
+
+/// A request with a head of many short fields.
+fn request_with_many_fields(id: &str) -> Vec<u8> {
+    let fields: String = (0..2000)
+        .map(|number| format!("x{number}: 1\r\n"))
+        .collect();
+    let request = request_with(id, "charge", "wide", LONG_TIMEOUT);
+    request
+        .replacen("\r\n", &format!("\r\n{fields}"), 1)
+        .into_bytes()
+}
+
+/// Writes these bytes in small pieces, and waits for the response or the close.
+fn write_slowly(gateway: &SmallGateway, bytes: &[u8]) {
+    let mut stream = gateway.program.connect_client().reader.into_inner();
+    for piece in bytes.chunks(SLOW_PIECE) {
+        if stream.write_all(piece).is_err() {
+            return;
+        }
+        std::thread::sleep(SLOW_PAUSE);
+    }
+    let _ = read_response(&mut stream);
+}
+
+/// One request of a bad client: the rest of a long one is kept back, a long one is written slowly, or its head has many
+/// short fields.
+fn send_bad_request(gateway: &SmallGateway, number: usize, round: usize) {
+    let id = format!("bad-{number}-{round}");
+    match number % 3 {
+        0 => {
+            let mut request = long_request(&id, PADDING, LONGEST_BODY);
+            request.pop();
+            gateway.status_of(&request);
+        }
+        1 => write_slowly(gateway, &long_request(&id, 0, LONGEST_BODY)),
+        _ => {
+            gateway.status_of(&request_with_many_fields(&id));
+        }
+    }
+}
+
+/// Guards the sum of all shares of memory: clients that stop in the middle of requests, write slowly or send heads of very
+/// many fields come together with responses that do not end, and sound long requests are served meanwhile.
+#[test]
+fn several_kinds_of_bad_peers_at_once_stay_within_the_memory_limit() {
+    let gateway = gateway_with_endless_backends();
+    gateway.assert_within_memory_limit(|| {
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                run_many_clients(3 * CLIENTS_OF_A_KIND, |number| {
+                    let started_at = Instant::now();
+                    for round in 0.. {
+                        if started_at.elapsed() > ENDLESS_TIME {
+                            break;
+                        }
+                        send_bad_request(&gateway, number, round);
+                        std::thread::sleep(STALLED_PAUSE);
+                    }
+                })
+            });
+            let served = run_many_clients(LONG_REQUEST_CLIENTS, |number| {
+                long_request_client(&gateway, number)
+            });
+            let total: usize = served.iter().sum();
+            assert!(total > LONG_REQUEST_CLIENTS, "{total} requests were served");
+        });
+    });
+}
--- a/tests/endpoint_list.rs
+++ b/tests/endpoint_list.rs
@@ -4,6 +4,7 @@
 use cometspool_fault_injection::scripted_peers::*;
 use serde_json::{json, Value};
 use std::io::Write;
+use std::net::TcpListener;
 
 /// Guards against rejecting a pretty-printed list, both in a watch and as the full list, with heartbeats in between.
 #[test]
@@ -288,3 +289,75 @@
         stale.expect_close();
     }
 }
+
+/// What the endpoint list says of a new process at the address of one that has gone.
+enum NewProcess {
+    /// Another backend.
+    OtherName,
+    /// The same backend with a later start.
+    LaterStart,
+}
+
+/// The start of the first process at an address, in Unix milliseconds.
+const FIRST_START: u64 = 1_700_000_000_000;
+
+/// A new process listens at the address of a backend whose former process still holds a pooled connection. After the list
+/// says so, the former process gets nothing more, and the new one gets each request once.
+fn replace_process(new_process: &NewProcess) {
+    let discovery = TestListener::new();
+    let former = TestListener::new();
+    let address = former.address();
+    let host = |name: &str, health: &str, started: u64| {
+        let mut host = endpoint(name, address, health);
+        host["born_ms"] = started.into();
+        host
+    };
+    let program = GatewayProcess::start(
+        default_settings(),
+        discovery.address(),
+        endpoint_list(7, true, &[host("s-0", "up", FIRST_START)]),
+    );
+    let connection = discovery.accept_request(&watch_request(7));
+    let mut watch = WatchStream::begin_response(connection);
+    let mut client = program.connect_client();
+    client.write(request_with("id-1", "charge", "wide", LONG_TIMEOUT));
+    let mut pooled = former.accept();
+    pooled.read();
+    pooled.respond(200, "", "former");
+    assert_eq!(client.read().body, b"former");
+
+    drop(former);
+    let current = TestListener {
+        socket: wait_for("the address", || TcpListener::bind(address).ok()),
+    };
+    let hosts = match new_process {
+        NewProcess::OtherName => vec![
+            host("s-0", "removed", FIRST_START),
+            host("s-9", "up", FIRST_START + 1000),
+        ],
+        NewProcess::LaterStart => vec![host("s-0", "up", FIRST_START + 1000)],
+    };
+    watch.send_line(&endpoint_list(8, false, &hosts).to_string());
+    pooled.expect_close();
+    for number in 0..10 {
+        let id = format!("next-{number}");
+        client.write(request_with(&id, "charge", "wide", LONG_TIMEOUT));
+        let mut backend = current.accept();
+        assert_eq!(backend.read().header("request-id"), Some(id.as_str()));
+        backend.respond(200, "Connection: close\r\n", &id);
+        assert_eq!(client.read().body, id.as_bytes());
+    }
+    assert!(!current.has_pending_connection());
+}
+
+/// Guards against work for a process that has gone: another backend takes over its address.
+#[test]
+fn another_backend_at_the_address_of_a_former_one_is_not_taken_for_it() {
+    replace_process(&NewProcess::OtherName);
+}
+
+/// Guards against work for a process that has gone: the same backend restarts at its address.
+#[test]
+fn a_restarted_backend_is_not_taken_for_its_former_process() {
+    replace_process(&NewProcess::LaterStart);
+}
