Split the tests of the memory limit, with their gateway among the scripted peers

Change: the gateway with a small memory limit, the long request and the threads of clients move to scripted_peers; the tests of this issue move to tests/memory_pressure.rs, a test program of its own. No assertion, bound or length changes.

--- a/crates/fault-injection/src/scripted_peers/mod.rs
+++ b/crates/fault-injection/src/scripted_peers/mod.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod gateway_process;
 mod listener;
+mod memory_limit;
 mod socket_table;
 
 pub use connection::{Message, ScriptedConnection, WatchStream};
@@ -23,6 +24,9 @@
     accept_any_unless_answered, listener_with_full_backlog, refusing_address, FullBacklog,
     RefusingAddress, TestListener,
 };
+pub use memory_limit::{
+    long_request, run_clients, Exchange, SmallGateway, LONGEST_BODY, MEMORY_MB, PADDING,
+};
 pub use socket_table::{any_established, is_connecting, ConnectionEnds};
 
 use std::time::{Duration, Instant};
--- a/src/policy/customer_table.rs
+++ b/src/policy/customer_table.rs
@@ -30,6 +30,7 @@
 }
 
 impl<T> CustomerTable<T> {
+    /// An empty table.
     pub(super) fn new() -> CustomerTable<T> {
         CustomerTable {
             slots: Vec::new(),
@@ -45,11 +46,13 @@
         self.positions.len()
     }
 
+    /// The entry of a customer. Its place in the order stays.
     pub(super) fn get(&self, customer: CustomerId) -> Option<&T> {
         let slot = *self.positions.get(&customer)?;
         Some(&self.slots[slot as usize].entry)
     }
 
+    /// The entry of a customer, to be changed. Its place in the order stays.
     pub(super) fn get_mut(&mut self, customer: CustomerId) -> Option<&mut T> {
         let slot = *self.positions.get(&customer)?;
         Some(&mut self.slots[slot as usize].entry)
